--- /dev/null
+++ b/kelpjunction/fleet/cloud.py
@@ -0,0 +1,414 @@
+"""The cloud: its catalog, its machine list, renting and returning."""
+
+import logging
+from collections import Counter
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+from kelpjunction.clock import ZERO, Clock, seconds
+from kelpjunction.fleet.demand import Offer, Want, to_rent
+from kelpjunction.fleet.machines import Machine, MachineState
+from kelpjunction.jobs.book import Book, Placement
+from kelpjunction.leadership import LEAD_KEY, Reign
+from kelpjunction.settings import Operators, Platform
+from kelpjunction.store.client import Ending, StoreClient
+from kelpjunction.store.mirror import Mirror
+from kelpjunction.transport import NoAnswer, Reply, Transport
+from kelpjunction.wire import cloud as wire
+from kelpjunction.wire.messages import Cause, ListedMachine, MachineType, Report, Shape
+from kelpjunction.wire.users import Malformed
+from kelpjunction.workers.roster import Roster
+
+log = logging.getLogger("fleet")
+
+CATALOG_KEY = "l/catalog"
+MACHINE_PREFIX = "l/machine/"
+RENT_PREFIX = "l/rent/"
+CLOUD_TIMEOUT = timedelta(seconds=5)
+REFUSED_FOR = timedelta(seconds=20)
+CATALOG_EVERY = timedelta(seconds=60)
+MINIMUM_CHARGE = timedelta(seconds=60)
+
+
+class NoCloud(Exception):
+    """The cloud did not answer or would not; its outcome is unknown."""
+
+
+class Fleet:
+    """The leader's machines and its dealings with the cloud."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        operators: Operators,
+        store: StoreClient,
+        mirror: Mirror,
+        book: Book,
+        roster: Roster,
+        transport: Transport,
+        clock: Clock,
+        sleep: Callable[[timedelta], None],
+        spawn: Callable,
+    ) -> None:
+        self._platform = platform
+        self._operators = operators
+        self._store = store
+        self._mirror = mirror
+        self._book = book
+        self._roster = roster
+        self._transport = transport
+        self._clock = clock
+        self._sleep = sleep
+        self._spawn = spawn
+        self._spacing = seconds(1.25 / platform.cloud.rps)
+        self._called_at = clock.steady() - self._spacing
+        self._reign: Reign | None = None
+        self._requests = 0
+        self._refused: dict[Offer, timedelta] = {}
+        self._catalog_at: timedelta | None = None
+        self._listed_at: timedelta | None = None
+        self._gone: dict[str, timedelta] = {}
+        self.machines: dict[str, Machine] = {}
+        self.wants: list[Want] = []
+        self._parsed: tuple[int, dict[str, MachineType]] = (0, {})
+        roster.on_seen = self._seen
+        roster.on_exit = self._exited
+
+    # -- the catalog, on every node -----------------------------------------
+
+    @property
+    def catalog(self) -> dict[str, MachineType]:
+        """The machine types, as the leader last read them; empty if unknown yet."""
+        entry = self._mirror.get(CATALOG_KEY)
+        if entry is None:
+            return {}
+        if self._parsed[0] != entry.version:
+            self._parsed = (entry.version, wire.parse_catalog(entry.value))
+        return self._parsed[1]
+
+    # -- a reign ------------------------------------------------------------
+
+    def begin(self, reign: Reign | None) -> None:
+        """Start a reign from the records, or end one."""
+        self._reign = reign
+        self.machines = {}
+        self._requests = 0
+        self._refused, self._gone = {}, {}
+        self._listed_at = self._catalog_at = None
+        if reign is None:
+            return
+        now = self._clock.steady()
+        for entry in self._mirror.below(MACHINE_PREFIX):
+            machine = self._adopt(
+                entry.key.removeprefix(MACHINE_PREFIX),
+                entry.value["t"],
+                entry.value["z"],
+                entry.value["s"],
+                entry.value["a"],
+                now,
+            )
+            machine.recorded = machine.address
+            if entry.value.get("returning"):
+                machine.become(MachineState.RETURNING, now, "as the leader before decided")
+            elif machine.address:
+                # Ask at once: the workers may take a while to find this node.
+                self._spawn(self._roster.visit, machine.address)
+
+    def _adopt(self, name: str, type_: str, zone: str, spot: bool, address: str, now: timedelta) -> Machine:
+        machine = self.machines.get(name)
+        if machine is None:
+            machine = Machine(name, type_, zone, spot, address, since=now, rented_at=now)
+            self.machines[name] = machine
+        if address:
+            machine.address = address
+        return machine
+
+    def _seen(self, report: Report) -> None:
+        """A worker reported: its machine is up."""
+        now = self._clock.steady()
+        machine = self._adopt(report.machine, report.type, report.zone, report.spot, report.address, now)
+        machine.silent_visits = 0
+        machine.become(MachineState.UP, now)
+
+    def _exited(self, placement: Placement) -> None:
+        """Weigh who is to blame for a failed task: its machine or its job."""
+        machine = self.machines.get(placement.machine)
+        if machine is None:
+            return
+        if placement.cause is Cause.DONE or placement.cause is Cause.STOPPED:
+            machine.failed_jobs.clear()
+            return
+        if placement.cause is not Cause.ERROR:
+            return
+        job = self._book.jobs.get(placement.task.ref)
+        if job is None:
+            return
+        now = self._clock.steady()
+        job.errors[machine.name] = job.errors.get(machine.name, 0) + 1
+        if len(job.errors) >= 3 and not job.done_count():
+            # It fails wherever it is put: the job is wrong, not the machines.
+            wait = min(60.0, 2.0 ** min(6, sum(job.errors.values()) - 2))
+            job.not_before = now + seconds(wait)
+            log.info(
+                "job %s failed on %d machines and never ended well: next try in %.0f s",
+                job.spec.ref,
+                len(job.errors),
+                wait,
+            )
+            return
+        machine.failed_jobs.add(placement.task.ref)
+        if len(machine.failed_jobs) >= 2 or job.done_count():
+            faulty = sum(m.state is MachineState.FAULTY for m in self.machines.values())
+            if faulty * 4 < len(self.machines):
+                machine.become(MachineState.FAULTY, now, "failed tasks that run elsewhere")
+
+    # -- one step -----------------------------------------------------------
+
+    def step(self) -> None:
+        """Do what is due with the cloud, most urgent first."""
+        if self._reign is None or not self._mirror.loaded:
+            return
+        try:
+            now = self._clock.steady()
+            if self._catalog_at is None or now - self._catalog_at > CATALOG_EVERY:
+                self._read_catalog()
+            self._watch_silent()
+            self._return_some()
+            if self._listed_at is None or now - self._listed_at > self._platform.cloud.list_lag / 2:
+                self._read_list()
+            self._record()
+            self._repeat_requests()
+            self._rent_some()
+        except NoCloud as error:
+            log.info("cloud: %s", error)
+
+    def _call(self, method: str, path: str, body: bytes | None = None) -> Reply:
+        wait = self._called_at + self._spacing - self._clock.steady()
+        if wait > ZERO:
+            self._sleep(wait)
+        self._called_at = self._clock.steady()
+        try:
+            reply = self._transport.request(self._platform.cloud_address, method, path, body, CLOUD_TIMEOUT)
+        except NoAnswer as error:
+            raise NoCloud(str(error)) from error
+        if reply.status == 503 and reply.fields.get("error") == "no capacity":
+            return reply
+        if reply.status != 200:
+            raise NoCloud(f"{method} {path}: status {reply.status} {reply.fields}")
+        return reply
+
+    def _read_catalog(self) -> None:
+        reply = self._call("GET", wire.CATALOG_PATH)
+        try:
+            wire.parse_catalog(reply.fields)
+        except Malformed as error:
+            raise NoCloud(str(error)) from error
+        self._catalog_at = self._clock.steady()
+        old = self._mirror.get(CATALOG_KEY)
+        if old is None or old.value != reply.fields:
+            self._write({CATALOG_KEY: reply.fields})
+
+    def _read_list(self) -> None:
+        listed: dict[str, ListedMachine] = {}
+        after = None
+        while True:
+            try:
+                page, more = wire.parse_list(self._call("GET", wire.list_path(after)).fields)
+            except Malformed as error:
+                raise NoCloud(str(error)) from error
+            listed |= {m.machine: m for m in page}
+            if not more or not page:
+                break
+            after = page[-1].machine
+        now = self._listed_at = self._clock.steady()
+        # The list lags: what was returned a moment ago may still be on it.
+        self._gone = {n: t for n, t in self._gone.items() if now - t < seconds(120)}
+        for entry in listed.values():
+            if entry.machine in self._gone:
+                continue
+            machine = self._adopt(entry.machine, entry.type, entry.zone, entry.spot, entry.address, now)
+            machine.rented_at = min(machine.rented_at, now - entry.age)
+            if entry.state == "failed" and machine.state is not MachineState.RETURNING:
+                machine.become(MachineState.RETURNING, now, "it failed")
+
+    def _watch_silent(self) -> None:
+        """Find machines that stopped reporting or never came up, and let them go."""
+        now = self._clock.steady()
+        limit = self._platform.workers.report * 2.5 + seconds(1.5)
+        for machine in list(self.machines.values()):
+            worker = self._roster.workers.get(machine.name)
+            if machine.state is MachineState.BOOTING and worker is None:
+                type_ = self.catalog.get(machine.type)
+                boot = type_.boot if type_ else seconds(60)
+                if now - machine.rented_at > boot * 3 + seconds(20) and now - self._reign.began > seconds(15):
+                    machine.become(MachineState.RETURNING, now, "it never came up")
+            elif worker is not None and now - worker.heard_at > limit:
+                if machine.state is MachineState.UP:
+                    machine.become(MachineState.SILENT, now)
+                if machine.state in (MachineState.SILENT, MachineState.FAULTY):
+                    self._spawn(self._visit_silent, machine)
+
+    def _visit_silent(self, machine: Machine) -> None:
+        if self._roster.visit(machine.address) or self._reign is None:
+            return
+        machine.silent_visits += 1
+        now = self._clock.steady()
+        zone = [m for m in self.machines.values() if m.zone == machine.zone]
+        silent = sum(m.state is MachineState.SILENT for m in zone)
+        everywhere = sum(m.state is MachineState.SILENT for m in self.machines.values())
+        # Many at once look like a cut, not like machines that died: those
+        # keep their tasks until their leases end.
+        cut = (silent >= 3 and silent * 2 > len(zone)) or (everywhere >= 4 and everywhere * 2 > len(self.machines))
+        end = self._roster.lease_end(machine.name)
+        over = end is not None and now > end + seconds(30)
+        if machine.silent_visits >= 2 and (not cut or over):
+            machine.become(MachineState.RETURNING, now, "it does not answer")
+
+    # -- returning ----------------------------------------------------------
+
+    def _return_some(self) -> None:
+        now = self._clock.steady()
+        self._note_idle(now)
+        names = [m.name for m in self.machines.values() if m.state is MachineState.RETURNING]
+        names = names[: min(wire.MAX_RETURN, self._store.limits.txn_ops)]
+        if not names:
+            return
+        # Written down first: a return may be carried out late, and the next
+        # leader must not count on the machine.
+        records = {}
+        for name in names:
+            entry = self._mirror.get(MACHINE_PREFIX + name)
+            if entry is None or not entry.value.get("returning"):
+                records[MACHINE_PREFIX + name] = self._record_of(self.machines[name]) | {"returning": True}
+        if records and not self._write(records):
+            return
+        self._call("POST", wire.RETURN_PATH, wire.return_body(names))
+        for name in names:
+            self._roster.settle_machine(name)
+            self._gone[name] = now
+            machine = self.machines.pop(name, None)
+            if machine is not None:
+                machine.become(MachineState.GONE, now)
+        self._write({}, [MACHINE_PREFIX + name for name in names])
+
+    def _note_idle(self, now: timedelta) -> None:
+        """Mark idle machines, and let go those that cost more than they are worth."""
+        gang_types = self._types_kept()
+        for machine in self.machines.values():
+            if self._book.on_machine.get(machine.name):
+                machine.idle_since = None
+                continue
+            if machine.state is MachineState.FAULTY:
+                machine.become(MachineState.RETURNING, now, "faulty and empty")
+            if machine.idle_since is None:
+                machine.idle_since = now
+            if not self._platform.price_matters or machine.state is not MachineState.UP:
+                continue
+            idle = now - machine.idle_since
+            if machine.type in gang_types:
+                continue
+            if idle > self._operators.idle_return and now - machine.rented_at > MINIMUM_CHARGE:
+                machine.become(MachineState.RETURNING, now, f"idle for {idle.total_seconds():.0f} s")
+
+    def _types_kept(self) -> set[str]:
+        """Types that only gangs or accelerator work of live jobs call for: they boot too slowly to come and go."""
+        kept: set[str] = set()
+        for job in self._book.jobs.values():
+            if job.spec.gpus > 0:
+                kept |= {n for n, t in self.catalog.items() if t.gpus + 1e-6 >= job.spec.gpus}
+        return kept
+
+    # -- renting ------------------------------------------------------------
+
+    def _rent_some(self) -> None:
+        now = self._clock.steady()
+        self._refused = {o: t for o, t in self._refused.items() if t > now}
+        live = [m for m in self.machines.values() if m.state in (MachineState.BOOTING, MachineState.UP)]
+        supply = Counter(m.zone for m in live)
+        coming = Counter(m.type for m in live if m.state is MachineState.BOOTING)
+        refused = set(self._refused)
+        request = to_rent(self.wants, self.catalog, coming, refused, supply, most=4)
+        if request is None and not self._platform.price_matters and sum(coming.values()) < 6:
+            request = to_rent(self._spare_wants(live), self.catalog, {}, refused, supply, most=4)
+        if request is None:
+            return
+        offer, count = request
+        self._requests += 1
+        name = f"r-{self._reign.term}-{self._requests}-{self._platform.node}"
+        intent = {"t": offer.type, "z": offer.zone, "s": offer.spot, "n": count}
+        if self._write({RENT_PREFIX + name: intent}):
+            self._ask_for(name, intent)
+
+    def _spare_wants(self, live: list[Machine]) -> list[Want]:
+        """Room to keep free where the price is no aim: a share of what is in use."""
+        used: Counter = Counter()
+        sample = {}
+        for job in self._book.jobs.values():
+            if job.spec.shape is Shape.GANG:
+                continue
+            key = (job.spec.spot, job.spec.types)
+            used[key] += job.placed_count() * job.spec.cpus
+            sample.setdefault(key, job.spec)
+        total = sum(self.catalog[m.type].cpus for m in live if m.type in self.catalog)
+        want = sum(used.values()) * (1 + self._operators.spare_share)
+        wants = []
+        # Services cannot use spot machines, so room for them comes first.
+        for _, spec in sorted(sample.items(), key=lambda item: item[0][0]):
+            missing = (want - total) / max(spec.cpus, 0.01)
+            if missing >= 1:
+                wants.append(Want(spec, int(missing)))
+        return wants
+
+    def _repeat_requests(self) -> None:
+        """Ask again for what was written down and not settled, under the same name."""
+        for entry in self._mirror.below(RENT_PREFIX):
+            self._ask_for(entry.key.removeprefix(RENT_PREFIX), entry.value)
+
+    def _ask_for(self, name: str, intent: dict) -> None:
+        offer = Offer(intent["t"], intent["z"], intent["s"])
+        reply = self._call("POST", wire.RENT_PATH, wire.rent_body(name, *offer, intent["n"]))
+        now = self._clock.steady()
+        key = RENT_PREFIX + name
+        if reply.status == 503:
+            self._refused[offer] = now + REFUSED_FOR
+            log.info("no %s %s in %s", "spot" if offer.spot else "ordinary", offer.type, offer.zone)
+            self._write({}, [key])
+            return
+        try:
+            names = wire.parse_rented(reply.fields)
+        except Malformed as error:
+            raise NoCloud(str(error)) from error
+        if len(names) < intent["n"]:
+            self._refused[offer] = now + REFUSED_FOR
+        for machine in names:
+            self._adopt(machine, offer.type, offer.zone, offer.spot, "", now)
+        log.info("rented %d %s %s in %s", len(names), "spot" if offer.spot else "ordinary", offer.type, offer.zone)
+        self._write({}, [key])
+
+    # -- records ------------------------------------------------------------
+
+    def _record_of(self, machine: Machine) -> dict:
+        return {"a": machine.address, "t": machine.type, "z": machine.zone, "s": machine.spot}
+
+    def _record(self) -> None:
+        """Write down machines and their addresses, for the next leader."""
+        fresh = [
+            m
+            for m in self.machines.values()
+            if m.address and m.recorded != m.address and m.state is not MachineState.RETURNING
+        ][: self._store.limits.txn_ops]
+        if fresh and self._write({MACHINE_PREFIX + m.name: self._record_of(m) for m in fresh}):
+            for machine in fresh:
+                machine.recorded = machine.address
+
+    def _write(self, puts: dict, deletes: Iterable[str] = ()) -> bool:
+        if self._reign is None:
+            return False
+        deletes = [k for k in deletes if self._mirror.get(k) is not None]
+        if not puts and not deletes:
+            return True
+        outcome = self._store.commit({LEAD_KEY: self._reign.lead_version}, puts, deletes)
+        if outcome.ending is not Ending.APPLIED:
+            return False
+        self._mirror.put_outcome(puts, deletes, outcome.revision)
+        return True
--- /dev/null
+++ b/kelpjunction/http.py
@@ -0,0 +1,129 @@
+"""The two HTTP faces of a node: `listen` for users and workers, and the siblings' one."""
+
+import logging
+import math
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import orjson
+
+from kelpjunction.intake import Answer
+from kelpjunction.transport import NoAnswer, Transport
+from kelpjunction.wire import users, workers
+from kelpjunction.wire.users import Malformed
+
+if TYPE_CHECKING:
+    from kelpjunction.daemon import Node
+
+log = logging.getLogger("http")
+
+_REASONS = {
+    200: "200 OK",
+    201: "201 Created",
+    400: "400 Bad Request",
+    404: "404 Not Found",
+    405: "405 Method Not Allowed",
+    421: "421 Misdirected Request",
+    422: "422 Unprocessable Entity",
+    500: "500 Internal Server Error",
+    503: "503 Service Unavailable",
+}
+PEER_PATH = "/peer"
+
+
+def _respond(start_response: Callable, answer: Answer) -> Iterable[bytes]:
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(answer.body)))]
+    if answer.retry_after is not None:
+        headers.append(("Retry-After", str(math.ceil(answer.retry_after.total_seconds()))))
+    if answer.status == 400:
+        # What follows a body that was not read to its end can't be trusted.
+        headers.append(("Connection", "close"))
+    start_response(_REASONS[answer.status], headers)
+    return [answer.body]
+
+
+def _body(environ: dict) -> bytes:
+    """The request's body; an oversized one is refused without reading it all."""
+    try:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+    except ValueError as error:
+        raise Malformed("bad Content-Length") from error
+    if length < 0 or length > users.MAX_BODY:
+        raise Malformed(f"body exceeds {users.MAX_BODY} bytes")
+    chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
+    body = environ["wsgi.input"].read(users.MAX_BODY + 1 if chunked else length)
+    if len(body) > users.MAX_BODY:
+        raise Malformed(f"body exceeds {users.MAX_BODY} bytes")
+    return body
+
+
+class Application:
+    """What users, workers and the load balancer reach."""
+
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+        self._intake = node.intake
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        try:
+            answer = self._route(environ["REQUEST_METHOD"], environ["PATH_INFO"], environ)
+        except Malformed as error:
+            answer = Answer(400, users.error_answer(str(error)))
+        except Exception:
+            log.exception("%s %s failed", environ["REQUEST_METHOD"], environ["PATH_INFO"])
+            answer = Answer(500, users.error_answer("internal error"))
+        return _respond(start_response, answer)
+
+    def _route(self, method: str, path: str, environ: dict) -> Answer:
+        if path == workers.CHECK_IN_PATH:
+            return self._check_in(environ) if method == "POST" else _not_allowed()
+        if path == users.HEALTH_PATH:
+            healthy = self._intake.healthy()
+            return Answer(200 if healthy else 503, b"{}")
+        if path == users.JOBS_PATH:
+            return self._intake.submit(_body(environ)) if method == "POST" else _not_allowed()
+        if path.startswith(users.JOBS_PATH + "/"):
+            ref = path.removeprefix(users.JOBS_PATH + "/")
+            if ref.endswith(users.ABORT_END):
+                if method != "POST":
+                    return _not_allowed()
+                _body(environ)
+                return self._intake.abort(ref.removesuffix(users.ABORT_END))
+            return self._intake.status(ref) if method == "GET" else _not_allowed()
+        return Answer(404, users.error_answer("no such path"))
+
+    def _check_in(self, environ: dict) -> Answer:
+        report = workers.parse_report(_body(environ))
+        leadership = self._node.leadership
+        if leadership.reign is None:
+            leader = leadership.leader
+            if leader == self._node.platform.node:
+                leader = None
+            return Answer(421, workers.redirect_answer(leader))
+        return Answer(*self._node.roster.check_in(report))
+
+
+def _not_allowed() -> Answer:
+    return Answer(405, users.error_answer("method not allowed"))
+
+
+class PeerApplication:
+    """What siblings may ask: whether this node hears the state service."""
+
+    def __init__(self, node: "Node") -> None:
+        self._node = node
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        if environ["PATH_INFO"] != PEER_PATH:
+            return _respond(start_response, Answer(404, b"{}"))
+        return _respond(start_response, Answer(200, orjson.dumps({"fresh": self._node.intake.fresh})))
+
+
+def ask_peer(transport: Transport, address: str) -> bool:
+    """Whether a sibling answers and hears the state service."""
+    try:
+        reply = transport.request(address, "GET", PEER_PATH, None, timedelta(seconds=1))
+    except NoAnswer:
+        return False
+    return reply.status == 200 and reply.fields.get("fresh") is True
--- /dev/null
+++ b/kelpjunction/jobs/__init__.py
@@ -0,0 +1,6 @@
+"""Jobs and tasks: their life from acceptance to their end.
+
+Owns the records of live jobs (`l/job/<ref>`, `l/run/<ref>/<chunk>`,
+`l/sum/<ref>`) and of ended ones (`e/<ref>`), the in-memory picture of them
+(`book`), and the leader's rounds that write them (`rounds`).
+"""
--- /dev/null
+++ b/kelpjunction/jobs/book.py
@@ -0,0 +1,269 @@
+"""The picture of all live jobs, on every node, fed by the mirror.
+
+A job's record never changes but by its cancellation, so the version of
+`l/job/<ref>` guards every launch: an abort moves it.  Tasks live in chunks of
+64 (`l/run/<ref>/<chunk>`): which are done, which are placed and the number
+that the next attempt takes.  A chunk all of whose tasks are done is folded
+into `l/sum/<ref>`, so a job of 100,000 tasks costs what its unfinished part
+costs.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import UTC, datetime, timedelta
+from enum import Enum
+from typing import Any
+
+from kelpjunction.clock import ZERO
+from kelpjunction.wire.messages import Cause, JobPhase, JobSpec, Shape, TaskId
+from kelpjunction.wire.users import job_from_fields
+
+JOB_PREFIX = "l/job/"
+RUN_PREFIX = "l/run/"
+SUM_PREFIX = "l/sum/"
+END_PREFIX = "e/"
+CHUNK = 64
+
+
+class Phase(Enum):
+    """Where a placement stands, as the leader knows; `Placement.advance` makes every change.
+
+    PLACED -> STARTED -> FETCHING -> WAITING -> RUNNING -> STOPPING -> SETTLED,
+    and from any of them to STOPPING or SETTLED.
+    """
+
+    PLACED = "placed"  # committed; no command is known to have arrived
+    STARTED = "started"  # a start command was sent by this node
+    FETCHING = "fetching"
+    WAITING = "waiting"
+    RUNNING = "running"
+    STOPPING = "stopping"  # a stop was decided
+    SETTLED = "settled"  # surely not on its machine any more
+
+
+@dataclass(slots=True, eq=False)
+class Placement:
+    """One attempt of a task on a machine, from its commit until its removal is committed."""
+
+    task: TaskId
+    spec: JobSpec
+    attempt: int
+    machine: str
+    session: int
+    zone: str
+    phase: Phase = Phase.PLACED
+    since: timedelta = ZERO  # steady time of the last change of phase
+    running_since: timedelta | None = None
+    grace: timedelta = ZERO
+    reason: str = ""
+    cause: Cause | None = None
+    saved: bool = False
+    seen: bool = False  # some report listed it
+    inflight: int = 0  # direct commands about it that were not answered yet
+
+    def advance(self, phase: Phase, now: timedelta) -> None:
+        """The one place where the phase changes."""
+        if phase is self.phase or self.phase is Phase.SETTLED:
+            return
+        if self.phase is Phase.STOPPING and phase is not Phase.SETTLED:
+            return
+        self.phase, self.since = phase, now
+        if phase is Phase.RUNNING:
+            self.running_since = now
+
+    @property
+    def live(self) -> bool:
+        return self.phase not in (Phase.STOPPING, Phase.SETTLED)
+
+
+class Chunk:
+    """Up to 64 consecutive tasks."""
+
+    __slots__ = ("done", "next_attempt", "placements", "version")
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.next_attempt = 1
+        self.done = 0  # a bit for each task
+        self.placements: dict[int, Placement] = {}
+
+    def record(self) -> dict:
+        """This chunk as it is stored."""
+        return {
+            "n": self.next_attempt,
+            "d": self.done,
+            "p": [[i, p.attempt, p.machine, p.session, p.zone] for i, p in self.placements.items()],
+        }
+
+
+class Job:
+    """A live job."""
+
+    def __init__(self, spec: JobSpec, submitted: datetime, version: int, cancelled: bool) -> None:
+        self.spec = spec
+        self.submitted = submitted
+        self.version = version
+        self.cancelled = cancelled
+        self.chunks: dict[int, Chunk] = {}
+        self.full: set[int] = set()
+        self.sum_version = 0
+        self._first_open = 0
+        # The leader's own notes, rebuilt from snapshot and reports.
+        self.received = ZERO
+        self.errors: dict[str, int] = {}
+        self.not_before = ZERO
+        self.why_waiting = ""
+
+    @property
+    def chunk_count(self) -> int:
+        return -(-self.spec.tasks // CHUNK)
+
+    def chunk_size(self, number: int) -> int:
+        return min(CHUNK, self.spec.tasks - number * CHUNK)
+
+    def placements(self) -> Iterator[Placement]:
+        for chunk in self.chunks.values():
+            yield from chunk.placements.values()
+
+    def placed_count(self) -> int:
+        return sum(len(c.placements) for c in self.chunks.values())
+
+    def done_count(self) -> int:
+        full = sum(self.chunk_size(n) for n in self.full)
+        return full + sum(c.done.bit_count() for n, c in self.chunks.items() if n not in self.full)
+
+    def all_done(self) -> bool:
+        return self.spec.shape is not Shape.SERVICE and self.done_count() >= self.spec.tasks
+
+    def waiting(self, most: int) -> list[TaskId]:
+        """The first tasks that are neither done nor placed, at most so many."""
+        found: list[TaskId] = []
+        while self._first_open in self.full:
+            self._first_open += 1
+        for number in range(self._first_open, self.chunk_count):
+            if len(found) >= most:
+                break
+            if number in self.full:
+                continue
+            chunk = self.chunks.get(number)
+            for i in range(self.chunk_size(number)):
+                if chunk is None or not (chunk.done >> i & 1 or i in chunk.placements):
+                    found.append(TaskId(self.spec.ref, number * CHUNK + i))
+                    if len(found) >= most:
+                        break
+        return found
+
+    def waiting_count(self) -> int:
+        return self.spec.tasks - self.done_count() - self.placed_count()
+
+    def phase(self) -> JobPhase:
+        if self.cancelled:
+            return JobPhase.CANCELLED
+        return JobPhase.RUNNING if self.placed_count() else JobPhase.QUEUED
+
+
+def job_record(fields: dict, submitted: datetime, cancelled: bool = False) -> dict:
+    """A job as it is stored."""
+    record = {"spec": fields, "at": submitted.timestamp()}
+    return record | {"cancelled": True} if cancelled else record
+
+
+def ranges(numbers: set[int]) -> list[list[int]]:
+    """A set of numbers as inclusive ranges."""
+    found: list[list[int]] = []
+    for n in sorted(numbers):
+        if found and found[-1][1] == n - 1:
+            found[-1][1] = n
+        else:
+            found.append([n, n])
+    return found
+
+
+class Book:
+    """All live jobs."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, Job] = {}
+        self.on_machine: dict[str, dict[TaskId, Placement]] = {}
+        self._orphans: dict[str, dict[str, tuple[Any, int]]] = {}
+
+    def changed(self, key: str, value: Any, version: int) -> None:
+        """Take in one change of the mirror."""
+        if key.startswith(JOB_PREFIX):
+            self._job_changed(key.removeprefix(JOB_PREFIX), value, version)
+        elif key.startswith((RUN_PREFIX, SUM_PREFIX)):
+            ref = key.split("/")[2]
+            job = self.jobs.get(ref)
+            if job is not None:
+                self._part_changed(job, key, value, version)
+            elif value is not None:
+                # A listing by key order may bring tasks before their job.
+                self._orphans.setdefault(ref, {})[key] = (value, version)
+            else:
+                self._orphans.get(ref, {}).pop(key, None)
+
+    def _job_changed(self, ref: str, value: Any, version: int) -> None:
+        job = self.jobs.get(ref)
+        if value is None:
+            if job is not None:
+                for placement in list(job.placements()):
+                    self._drop(placement)
+                del self.jobs[ref]
+            return
+        cancelled = bool(value.get("cancelled"))
+        if job is not None:
+            job.version, job.cancelled = version, cancelled
+            return
+        submitted = datetime.fromtimestamp(value["at"], UTC)
+        job = self.jobs[ref] = Job(job_from_fields(value["spec"]), submitted, version, cancelled)
+        for key, (part, part_version) in self._orphans.pop(ref, {}).items():
+            self._part_changed(job, key, part, part_version)
+
+    def _part_changed(self, job: Job, key: str, value: Any, version: int) -> None:
+        if key.startswith(SUM_PREFIX):
+            job.sum_version = version
+            job.full = {n for a, b in (value or {"full": []})["full"] for n in range(a, b + 1)}
+            return
+        number = int(key.rpartition("/")[2])
+        chunk = job.chunks.setdefault(number, Chunk())
+        old = chunk.placements
+        chunk.version = version if value is not None else 0
+        if value is None:
+            del job.chunks[number]
+            value = {"n": 1, "d": 0, "p": []}
+        chunk.next_attempt, chunk.done = value["n"], value["d"]
+        chunk.placements = {}
+        for i, attempt, machine, session, zone in value["p"]:
+            known = old.get(i)
+            if known is None or known.attempt != attempt:
+                task = TaskId(job.spec.ref, number * CHUNK + i)
+                known = Placement(task, job.spec, attempt, machine, session, zone)
+                self.on_machine.setdefault(machine, {})[task] = known
+            chunk.placements[i] = known
+        for i, placement in old.items():
+            if chunk.placements.get(i) is not placement:
+                self._drop(placement)
+
+    def _drop(self, placement: Placement) -> None:
+        there = self.on_machine.get(placement.machine, {})
+        if there.get(placement.task) is placement:
+            del there[placement.task]
+            if not there:
+                del self.on_machine[placement.machine]
+
+    def placement(self, task: TaskId) -> Placement | None:
+        job = self.jobs.get(task.ref)
+        chunk = job.chunks.get(task.index // CHUNK) if job else None
+        return chunk.placements.get(task.index % CHUNK) if chunk else None
+
+    def placements(self) -> Iterator[Placement]:
+        for there in self.on_machine.values():
+            yield from there.values()
+
+    def forget_notes(self) -> None:
+        """A new reign starts from the records alone: what this node noted before is stale."""
+        for job in self.jobs.values():
+            job.errors, job.not_before, job.received = {}, ZERO, ZERO
+            for placement in job.placements():
+                placement.phase, placement.running_since = Phase.PLACED, None
+                placement.cause, placement.seen, placement.inflight = None, False, 0
--- /dev/null
+++ b/kelpjunction/leadership/__init__.py
@@ -0,0 +1,148 @@
+"""Who leads: election by a held key, terms, takeover.
+
+Owns this node's `Standing` and, while it leads, its `Reign`.  The key
+`l/lead` is attached to a hold, so it vanishes when its leader stops extending
+it; the term in `l/term` rises with every takeover and never falls.  Every
+write of a leader is guarded by the version of `l/lead`, which does not change
+during a reign: a leader that was superseded cannot write.
+"""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+from kelpjunction.clock import Clock, seconds
+from kelpjunction.settings import Operators, Platform
+from kelpjunction.store.client import Ending, HoldLost, StoreClient, StoreDown
+from kelpjunction.store.mirror import Mirror
+
+log = logging.getLogger("leadership")
+
+LEAD_KEY = "l/lead"
+TERM_KEY = "l/term"
+DRIFT = 1.001  # twice the 0.05% that each of two steady clocks may be off
+
+
+class Standing(Enum):
+    """What this node is; `_stand` makes every change."""
+
+    FOLLOWER = "follower"
+    LEADER = "leader"
+
+
+@dataclass(slots=True)
+class Reign:
+    """One node's time as leader."""
+
+    term: int
+    lead_version: int
+    began: timedelta
+
+
+def answering_grace(platform: Platform, operators: Operators) -> timedelta:
+    """How long a holder without word from the store may go on renewing workers' leases.
+
+    A task cancelled through another node must be gone within `cancel`: the
+    last renewal plus a whole lease, on clocks that drift, has to fit in.
+    """
+    room = platform.workers.cancel - platform.workers.lease * DRIFT - seconds(1.5)
+    return max(seconds(0), min(operators.block_lease, room))
+
+
+class Leadership:
+    """Runs for leader, stays it, and knows when to stop acting as one."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        operators: Operators,
+        store: StoreClient,
+        mirror: Mirror,
+        clock: Clock,
+        on_change: Callable[[Reign | None], None],
+    ) -> None:
+        self._node = platform.node
+        self._length = operators.hold
+        self._store = store
+        self._mirror = mirror
+        self._clock = clock
+        self._on_change = on_change
+        self._hold: int | None = None
+        self._busy = False
+        self.grace = answering_grace(platform, operators)
+        self.standing = Standing.FOLLOWER
+        self.reign: Reign | None = None
+        mirror.listen(LEAD_KEY, self._lead_changed)
+
+    @property
+    def leader(self) -> str | None:
+        """The node that leads, as far as this node knows."""
+        entry = self._mirror.get(LEAD_KEY)
+        return entry.value["node"] if entry else None
+
+    @property
+    def beat(self) -> timedelta:
+        """How often `step` wants to be called."""
+        return self._length / 4
+
+    def may_answer(self) -> bool:
+        """Whether a 200 to a worker cannot break a rule now."""
+        if self.reign is None or self._mirror.fresh_at is None:
+            return False
+        return self._clock.steady() - self._mirror.fresh_at < self.grace
+
+    def step(self) -> None:
+        """Extend the hold as leader; run for leader when nobody is."""
+        if self._busy or not self._mirror.loaded:
+            return
+        self._busy = True
+        try:
+            if self.standing is Standing.LEADER:
+                self._extend()
+            elif self._mirror.get(LEAD_KEY) is None:
+                self._run_for_leader()
+        except StoreDown as error:
+            log.debug("no step: %s", error)
+        finally:
+            self._busy = False
+
+    def _extend(self) -> None:
+        try:
+            self._store.extend_hold(self._hold, timeout=self._length / 2)
+        except HoldLost:
+            self._stand(Standing.FOLLOWER, "hold ended")
+
+    def _run_for_leader(self) -> None:
+        entry = self._mirror.get(TERM_KEY)
+        term = (entry.value if entry else 0) + 1
+        hold = self._store.take_hold(self._length)
+        lead = {"node": self._node, "term": term}
+        outcome = self._store.commit(
+            {LEAD_KEY: 0, TERM_KEY: entry.version if entry else 0},
+            {LEAD_KEY: lead, TERM_KEY: term},
+            holds={LEAD_KEY: hold},
+        )
+        if outcome.ending is not Ending.APPLIED:
+            # A commit of unknown outcome may still make this node leader on
+            # paper; the hold is not extended, so that ends by itself.
+            return
+        self._hold = hold
+        self._mirror.put(TERM_KEY, term, outcome.revision)
+        # The listener must already see a leader when the key comes in.
+        self.reign = Reign(term, outcome.revision, self._clock.steady())
+        self._mirror.put(LEAD_KEY, lead, outcome.revision)
+        self._stand(Standing.LEADER, f"term {term}")
+
+    def _lead_changed(self, key: str, value: dict | None, version: int) -> None:
+        if key == LEAD_KEY and self.standing is Standing.LEADER and version != self.reign.lead_version:
+            self._stand(Standing.FOLLOWER, "superseded")
+
+    def _stand(self, standing: Standing, why: str) -> None:
+        """The one place where the standing changes."""
+        self.standing = standing
+        log.info("%s is now %s (%s)", self._node, standing.value, why)
+        if standing is Standing.FOLLOWER:
+            self.reign, self._hold = None, None
+        self._on_change(self.reign)
--- /dev/null
+++ b/kelpjunction/placement/__init__.py
@@ -0,0 +1,271 @@
+"""What runs where: greedy choice, then swaps; and whom to stop for whom.
+
+Pure: it takes views of machines and returns decisions, and writes only to the
+views it was given, which are its caller's scratch copies.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Any, NamedTuple
+
+from kelpjunction.wire.messages import JobSpec, MachineType, Priority, Shape
+
+SLACK = 1e-6
+
+
+@dataclass(slots=True, eq=False)
+class View:
+    """A machine as placement sees it."""
+
+    name: str
+    type: MachineType
+    zone: str
+    spot: bool
+    cpus: float
+    gpus: float
+    memory: float
+    images: set[str] = field(default_factory=set)
+    arriving: set[str] = field(default_factory=set)
+    tasks: int = 0
+    shunned: bool = False
+    held_for: str | None = None
+
+    def fits(self, spec: JobSpec) -> bool:
+        """Whether one more task of this job has room here."""
+        return self.cpus + SLACK >= spec.cpus and self.gpus + SLACK >= spec.gpus and self.memory + SLACK >= spec.memory
+
+    def capacity(self, spec: JobSpec) -> int:
+        """How many tasks of this job have room here."""
+        room = 1_000_000
+        for free, each in ((self.cpus, spec.cpus), (self.gpus, spec.gpus), (self.memory, spec.memory)):
+            if each > 0:
+                room = min(room, int((free + SLACK) / each))
+        return room
+
+    def take(self, spec: JobSpec, count: int = 1) -> None:
+        self.cpus -= spec.cpus * count
+        self.gpus -= spec.gpus * count
+        self.memory -= spec.memory * count
+        self.tasks += count
+        if spec.image not in self.images:
+            self.arriving.add(spec.image)
+
+    def give_back(self, spec: JobSpec, count: int = 1) -> None:
+        self.cpus += spec.cpus * count
+        self.gpus += spec.gpus * count
+        self.memory += spec.memory * count
+        self.tasks -= count
+
+
+def type_fits(spec: JobSpec, type_: MachineType) -> bool:
+    """Whether an empty machine of this type could run a task of this job."""
+    return (
+        (spec.types is None or type_.name in spec.types)
+        and (spec.zone is None or not type_.zones or spec.zone in type_.zones)
+        and type_.cpus + SLACK >= spec.cpus
+        and type_.gpus + SLACK >= spec.gpus
+        and type_.memory + SLACK >= spec.memory
+    )
+
+
+def allowed(spec: JobSpec, type_: MachineType, zone: str, spot: bool) -> bool:
+    """Whether the job may use a machine of this type, zone and kind at all."""
+    return (
+        (spec.types is None or type_.name in spec.types)
+        and (spec.zone is None or spec.zone == zone)
+        and (spec.spot or not spot)
+    )
+
+
+def zone_room(spec: JobSpec, zones: Counter, zone: str) -> int:
+    """How many more tasks the job's zone rules admit in a zone, given where its others are."""
+    if spec.one_zone and zones and any(z != zone and n > 0 for z, n in zones.items()):
+        return 0
+    if spec.spread:
+        return max(0, -(-spec.tasks // 2) - zones[zone])
+    return spec.tasks
+
+
+def fetch_cost(spec: JobSpec, view: View) -> float:
+    """Seconds that a task would wait for its image here."""
+    if spec.image in view.images:
+        return 0.0
+    whole = spec.image_gb / max(view.type.fetch_gb_per_s, 1e-3)
+    return whole * 0.6 if spec.image in view.arriving else whole
+
+
+def waste(spec: JobSpec, view: View) -> float:
+    """What the machine has that the job does not need: scarce types are left alone."""
+    return 0.0 if spec.gpus > 0 else view.type.gpus
+
+
+def _score(spec: JobSpec, view: View, zones: Counter, mates: Counter) -> tuple:
+    """The smaller the better."""
+    fetch = round(fetch_cost(spec, view), 1)
+    if spec.shape is Shape.SERVICE:
+        # A lost machine or zone should cost few replicas, and a fetch costs
+        # more than the start may take.
+        return (
+            view.shunned,
+            view.spot,
+            mates[view.name] > 0,
+            zones[view.zone],
+            fetch,
+            waste(spec, view),
+            mates[view.name],
+            view.cpus,
+            view.name,
+        )
+    return (view.shunned, waste(spec, view), fetch, not view.spot, view.cpus, view.name)
+
+
+def place(spec: JobSpec, count: int, views: Sequence[View], zones: Counter, mates: Counter) -> list[View]:
+    """Machines for up to `count` tasks of an array or service, one entry a task.
+
+    `zones` and `mates` count the job's tasks by zone and machine; both are
+    brought up to date, as are the views.
+    """
+    chosen: list[View] = []
+    usable = [
+        v for v in views if v.held_for in (None, spec.ref) and allowed(spec, v.type, v.zone, v.spot) and v.fits(spec)
+    ]
+    while len(chosen) < count:
+        usable = [v for v in usable if v.fits(spec) and zone_room(spec, zones, v.zone) > 0]
+        if not usable:
+            break
+        best = min(usable, key=lambda v: _score(spec, v, zones, mates))
+        best.take(spec)
+        zones[best.zone] += 1
+        mates[best.name] += 1
+        chosen.append(best)
+    return chosen
+
+
+def place_gang(spec: JobSpec, views: Sequence[View]) -> list[View] | None:
+    """Machines for a whole gang, one entry a task, or None if it does not fit."""
+    usable = [
+        v for v in views if v.held_for in (None, spec.ref) and allowed(spec, v.type, v.zone, v.spot) and v.fits(spec)
+    ]
+    by_zone: dict[str, list[View]] = {}
+    for view in usable:
+        by_zone.setdefault(view.zone, []).append(view)
+    # One zone first: a gang that need not cross zones should not.
+    pools = [by_zone[z] for z in sorted(by_zone)]
+    plans = [p for p in (_fill_gang(spec, pool) for pool in pools) if p is not None]
+    if not plans and not spec.one_zone:
+        whole = _fill_gang(spec, usable)
+        plans = [] if whole is None else [whole]
+    if not plans:
+        return None
+    best = min(plans, key=lambda plan: _gang_cost(spec, plan))
+    for view, n in best.items():
+        view.take(spec, n)
+    return [view for view, n in best.items() for _ in range(n)]
+
+
+def _fill_gang(spec: JobSpec, pool: list[View]) -> dict[View, int] | None:
+    """Greedy: the machines that take most first; then swaps to use fewer."""
+    limit = -(-spec.tasks // 2) if spec.spread else spec.tasks
+    room = {v.name: v.capacity(spec) for v in pool}
+    order = sorted(
+        pool,
+        key=lambda v: (v.shunned, -min(room[v.name], spec.tasks), fetch_cost(spec, v), waste(spec, v), v.name),
+    )
+    plan: dict[str, int] = {}
+    zones: Counter = Counter()
+    left = spec.tasks
+    for view in order:
+        n = min(room[view.name], left, limit - zones[view.zone])
+        if n > 0:
+            plan[view.name] = n
+            zones[view.zone] += n
+            left -= n
+    if left > 0:
+        return None
+    by_name = {v.name: v for v in pool}
+    _swap(spec, plan, by_name, room)
+    return {by_name[name]: n for name, n in plan.items()}
+
+
+def _swap(spec: JobSpec, plan: dict[str, int], by_name: dict[str, View], room: dict[str, int]) -> None:
+    """Move a machine's tasks to one outside the plan that is better for all of them."""
+    for name in sorted(plan, key=lambda n: plan[n]):
+        count = plan[name]
+        here = by_name[name]
+        better = [
+            v
+            for v in by_name.values()
+            if v.name not in plan
+            and v.zone == here.zone
+            and room[v.name] >= count
+            and (v.shunned, fetch_cost(spec, v), v.capacity(spec))
+            < (here.shunned, fetch_cost(spec, here), here.capacity(spec))
+        ]
+        if better:
+            best = min(better, key=lambda v: (v.shunned, fetch_cost(spec, v), v.capacity(spec), v.name))
+            del plan[name]
+            plan[best.name] = count
+
+
+def _gang_cost(spec: JobSpec, plan: dict[View, int]) -> tuple:
+    return (
+        any(v.shunned for v in plan),
+        len({v.zone for v in plan}),
+        max(fetch_cost(spec, v) for v in plan),
+        len(plan),
+        sum(waste(spec, v) for v in plan),
+    )
+
+
+class Victim(NamedTuple):
+    """Something that could be stopped: one task, or a gang's tasks on one machine."""
+
+    placement: Any
+    machine: str
+    priority: Priority
+    cpus: float
+    gpus: float
+    memory: float
+    loss: timedelta
+
+
+def choose_victims(
+    spec: JobSpec, views: Iterable[View], victims: dict[str, list[Victim]], zones: Counter
+) -> tuple[View, list[Victim]] | None:
+    """The machine where one task of the job gains room at the least loss, and whom to stop there."""
+    best: tuple | None = None
+    for view in views:
+        if not allowed(spec, view.type, view.zone, view.spot) or view.shunned:
+            continue
+        if zone_room(spec, zones, view.zone) <= 0:
+            continue
+        chosen = _enough(spec, view, victims.get(view.name, []))
+        if chosen is None:
+            continue
+        lost = sum((v.loss for v in chosen), timedelta())
+        cost = (lost.total_seconds() + 3 * fetch_cost(spec, view), len(chosen), zones[view.zone], view.name)
+        if best is None or cost < best[0]:
+            best = (cost, view, chosen)
+    return None if best is None else (best[1], best[2])
+
+
+def _enough(spec: JobSpec, view: View, victims: list[Victim]) -> list[Victim] | None:
+    """The cheapest victims on a machine that make room for one task, without needless ones."""
+    free = [view.cpus, view.gpus, view.memory]
+    need = (spec.cpus, spec.gpus, spec.memory)
+    chosen: list[Victim] = []
+    for victim in sorted(victims, key=lambda v: (v.priority, v.loss)):
+        if all(f + SLACK >= n for f, n in zip(free, need, strict=True)):
+            break
+        chosen.append(victim)
+        free = [f + x for f, x in zip(free, (victim.cpus, victim.gpus, victim.memory), strict=True)]
+    if any(f + SLACK < n for f, n in zip(free, need, strict=True)):
+        return None
+    for victim in list(reversed(chosen)):
+        without = [f - x for f, x in zip(free, (victim.cpus, victim.gpus, victim.memory), strict=True)]
+        if len(chosen) > 1 and all(f + SLACK >= n for f, n in zip(without, need, strict=True)):
+            chosen.remove(victim)
+            free = without
+    return chosen
--- /dev/null
+++ b/kelpjunction/queue/__init__.py
@@ -0,0 +1,69 @@
+"""Who is next: the order of weighted deficit, and the teams' guarantees and limits.
+
+Pure: values in, decisions out; no clock and no I/O.  A job's deficit is the
+service it should have had (its weight for each second since it came, plus a
+credit on arrival) less the machine time it received.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+from typing import NamedTuple
+
+from kelpjunction.settings import Team
+
+SLACK = 1e-6
+
+
+class Waiting(NamedTuple):
+    """A job with tasks that wait, as the order sees it."""
+
+    ref: str
+    weight: float
+    submitted: datetime
+    received: timedelta
+    in_guarantee: bool = True
+
+
+def deficit(job: Waiting, now: datetime, credit: timedelta) -> float:
+    """What the job is owed, in weighted seconds."""
+    waited = now - job.submitted + credit
+    return job.weight * waited.total_seconds() - job.received.total_seconds()
+
+
+def in_order(jobs: Iterable[Waiting], now: datetime, credit: timedelta) -> list[str]:
+    """Jobs by deficit, the largest first; the older, then the smaller id, where it is equal."""
+    return [j.ref for j in sorted(jobs, key=lambda j: (-deficit(j, now, credit), j.submitted, j.ref))]
+
+
+@dataclass(slots=True)
+class Usage:
+    """What each team's tasks hold, placements that are not settled included."""
+
+    teams: dict[str, Team]
+    cpus: dict[str, float] = field(default_factory=dict)
+    gpus: dict[str, float] = field(default_factory=dict)
+
+    def add(self, team: str, cpus: float, gpus: float, count: int = 1) -> None:
+        self.cpus[team] = self.cpus.get(team, 0.0) + cpus * count
+        self.gpus[team] = self.gpus.get(team, 0.0) + gpus * count
+
+    def room(self, team: str, cpus: float, gpus: float, most: int) -> int:
+        """How many such tasks the team may still start, at most `most`."""
+        limits = self.teams.get(team)
+        if limits is None:
+            return 0
+        for each, limit, used in (
+            (cpus, limits.cpus_max, self.cpus.get(team, 0.0)),
+            (gpus, limits.gpus_max, self.gpus.get(team, 0.0)),
+        ):
+            if limit is not None and each > 0:
+                most = min(most, int((limit - used + SLACK) / each))
+        return max(0, most)
+
+
+def over_limit(team: Team, cpus: float, gpus: float, count: int) -> bool:
+    """Whether so many tasks at once could never run within the team's limit."""
+    return (team.cpus_max is not None and cpus * count > team.cpus_max + SLACK) or (
+        team.gpus_max is not None and gpus * count > team.gpus_max + SLACK
+    )
--- /dev/null
+++ b/kelpjunction/settings.py
@@ -0,0 +1,213 @@
+"""The platform's settings file (TOML) and the operators' own (JSON with a schema)."""
+
+import tomllib
+from dataclasses import dataclass, field
+from datetime import timedelta
+from pathlib import Path
+
+import fastjsonschema
+import orjson
+
+from kelpjunction.clock import seconds
+
+SCHEMA_FILE = Path(__file__).with_name("operators.schema.json")
+
+
+class SettingsError(Exception):
+    """A settings file that cannot be used; the text names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Sibling:
+    """Another controller node."""
+
+    node: str
+    zone: str
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Team:
+    """A team's guarantee and limit; None means none is set."""
+
+    name: str
+    cpus: float
+    gpus: float
+    cpus_max: float | None
+    gpus_max: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerTimes:
+    """The workers' clockwork."""
+
+    report: timedelta
+    lease: timedelta
+    gang_wait: timedelta
+    gang_peer: timedelta
+    cancel: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class StoreLimits:
+    """What the state service allows."""
+
+    rps: float
+    write_rps: float
+    value_bytes: int
+    txn_ops: int
+
+
+@dataclass(frozen=True, slots=True)
+class CloudLimits:
+    """What the cloud allows and how far its list lags."""
+
+    rps: float
+    list_lag: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """Everything the platform's file says, in our own terms."""
+
+    node: str
+    zone: str
+    listen: str
+    internal: str
+    siblings: tuple[Sibling, ...]
+    cloud_address: str
+    store_address: str
+    zones: tuple[str, ...]
+    teams: dict[str, Team]
+    workers: WorkerTimes
+    store: StoreLimits
+    cloud: CloudLimits
+    price_matters: bool
+    objectives: tuple[dict, ...] = field(default=())
+
+
+@dataclass(frozen=True, slots=True)
+class Operators:
+    """The operators' own settings; the schema holds the defaults."""
+
+    class_weights: dict[str, float]
+    arrival_credit: timedelta
+    round: timedelta
+    hold: timedelta
+    block_lease: timedelta
+    snapshot: timedelta
+    idle_return: timedelta
+    spare_share: float
+
+
+_NUMBER = {"type": "number", "minimum": 0, "maximum": 1e12}
+_NAME = {"type": "string", "minLength": 1, "maxLength": 100}
+_ADDRESS = {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"}
+
+
+def _object(required: dict, optional: dict | None = None) -> dict:
+    return {"type": "object", "required": list(required), "properties": required | (optional or {})}
+
+
+_PLATFORM_SCHEMA = _object(
+    {
+        "node": _NAME,
+        "zone": _NAME,
+        "listen": _ADDRESS,
+        "internal_addr": _ADDRESS,
+        "services": _object({"cloud": _ADDRESS, "state": _ADDRESS}),
+        "params": _object(
+            {
+                "zones": {"type": "array", "items": _NAME, "minItems": 1},
+                "teams": {
+                    "type": "array",
+                    "items": _object(
+                        {"name": _NAME},
+                        {"cpus": _NUMBER, "cpus_max": _NUMBER, "gpus": _NUMBER, "gpus_max": _NUMBER},
+                    ),
+                },
+                "workers": _object(
+                    dict.fromkeys(("report_s", "lease_s", "gang_wait_s", "gang_peer_s", "cancel_s"), _NUMBER)
+                ),
+                "state": _object(dict.fromkeys(("rps", "write_rps", "value_kb", "txn_ops"), _NUMBER)),
+                "cloud": _object(dict.fromkeys(("rps", "list_lag_s"), _NUMBER)),
+            },
+            {"objectives": {"type": "array", "items": {"type": "object"}}},
+        ),
+    },
+    {
+        "siblings": {
+            "type": "array",
+            "items": _object({"node": _NAME, "zone": _NAME, "endpoint": _ADDRESS}),
+        }
+    },
+)
+
+
+def load_platform(path: str | Path) -> Platform:
+    """Read and check the platform's file; unknown fields are ignored."""
+    try:
+        raw = tomllib.loads(Path(path).read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    try:
+        fastjsonschema.compile(_PLATFORM_SCHEMA)(raw)
+    except fastjsonschema.JsonSchemaValueException as error:
+        raise SettingsError(f"{path}: {error.message.removeprefix('data.')}") from error
+    params = raw["params"]
+    workers, store, cloud = params["workers"], params["state"], params["cloud"]
+    objectives = tuple(params.get("objectives", ()))
+    return Platform(
+        node=raw["node"],
+        zone=raw["zone"],
+        listen=raw["listen"],
+        internal=raw["internal_addr"],
+        siblings=tuple(Sibling(s["node"], s["zone"], s["endpoint"]) for s in raw.get("siblings", ())),
+        cloud_address=raw["services"]["cloud"],
+        store_address=raw["services"]["state"],
+        zones=tuple(params["zones"]),
+        teams={t["name"]: _team(t) for t in params["teams"]},
+        workers=WorkerTimes(
+            report=seconds(workers["report_s"]),
+            lease=seconds(workers["lease_s"]),
+            gang_wait=seconds(workers["gang_wait_s"]),
+            gang_peer=seconds(workers["gang_peer_s"]),
+            cancel=seconds(workers["cancel_s"]),
+        ),
+        store=StoreLimits(store["rps"], store["write_rps"], int(store["value_kb"] * 1024), int(store["txn_ops"])),
+        cloud=CloudLimits(cloud["rps"], seconds(cloud["list_lag_s"])),
+        price_matters=any(o.get("kind") in ("price", "useful") for o in objectives),
+        objectives=objectives,
+    )
+
+
+def _team(raw: dict) -> Team:
+    return Team(
+        name=raw["name"],
+        cpus=raw.get("cpus", 0.0),
+        gpus=raw.get("gpus", 0.0),
+        cpus_max=raw.get("cpus_max") or None,
+        gpus_max=raw.get("gpus_max") or None,
+    )
+
+
+def load_operators(path: str | Path | None) -> Operators:
+    """Read and check the operators' file; without one, the schema's defaults apply."""
+    try:
+        raw = {} if path is None else orjson.loads(Path(path).read_bytes())
+    except (OSError, orjson.JSONDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    try:
+        raw = fastjsonschema.compile(orjson.loads(SCHEMA_FILE.read_bytes()))(raw)
+    except fastjsonschema.JsonSchemaValueException as error:
+        raise SettingsError(f"{path}: {error.message.removeprefix('data.')}") from error
+    return Operators(
+        class_weights=raw["class_weights"],
+        arrival_credit=seconds(raw["arrival_credit_s"]),
+        round=seconds(raw["round_s"]),
+        hold=seconds(raw["hold_s"]),
+        block_lease=seconds(raw["block_lease_s"]),
+        snapshot=seconds(raw["snapshot_s"]),
+        idle_return=seconds(raw["idle_return_s"]),
+        spare_share=raw["spare_share"],
+    )
--- /dev/null
+++ b/kelpjunction/store/mirror.py
@@ -0,0 +1,178 @@
+"""Each node's copy of the live keys, kept by following the state service.
+
+The copy lags, so nothing is told to a user from it without asking the state
+service whether it still holds (`Verifier`).  A node's own commits are put in
+at once; the news of them arrives later and changes nothing.
+"""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from gevent.event import AsyncResult
+
+from kelpjunction.clock import Clock
+from kelpjunction.store.client import Ending, StoreClient, StoreDown
+from kelpjunction.transport import Transport
+from kelpjunction.wire.state import GUARDS_PER_OP, Change
+
+log = logging.getLogger("store")
+
+FOLLOW_WAIT = timedelta(seconds=2)
+LIVE = "l/"
+
+
+class Mirror:
+    """The live keys as this node last saw them."""
+
+    def __init__(self, store: StoreClient, clock: Clock, transport: Transport) -> None:
+        self._store = store
+        self._clock = clock
+        self._transport = transport
+        self._entries: dict[str, Change] = {}
+        self._deleted: dict[str, int] = {}
+        self._listeners: list[tuple[str, Callable[[str, Any, int], None]]] = []
+        self.revision: int | None = None
+        self.fresh_at: timedelta | None = None
+
+    @property
+    def loaded(self) -> bool:
+        return self.revision is not None
+
+    def listen(self, prefix: str, listener: Callable[[str, Any, int], None]) -> None:
+        """Call `listener(key, value, version)` for each change below a prefix."""
+        self._listeners.append((prefix, listener))
+
+    def get(self, key: str) -> Change | None:
+        return self._entries.get(key)
+
+    def version(self, key: str) -> int:
+        """The version to guard with; 0 if the key does not exist as far as we know."""
+        entry = self._entries.get(key)
+        return entry.version if entry else 0
+
+    def below(self, prefix: str) -> list[Change]:
+        return [e for k, e in self._entries.items() if k.startswith(prefix)]
+
+    def load(self) -> None:
+        """Read everything anew."""
+        asked_at = self._clock.steady()
+        entries, revision = self._store.scan(LIVE)
+        present = {e.key for e in entries}
+        for key in [k for k in self._entries if k not in present]:
+            if self._entries[key].version <= revision:
+                self.put(key, None, revision)
+        for entry in entries:
+            self.put(*entry)
+        self.revision, self.fresh_at = revision, asked_at
+        self._deleted = {k: v for k, v in self._deleted.items() if v > revision}
+        log.info("live keys read: %d at revision %d", len(entries), revision)
+
+    def follow_once(self) -> None:
+        """Wait for the next changes and put them in."""
+        if self.revision is None:
+            self.load()
+            return
+        asked_at = self._clock.steady()
+        got = self._store.follow(LIVE, self.revision, FOLLOW_WAIT, self._transport)
+        if got is None:
+            self.load()
+            return
+        news, revision = got
+        for change in news:
+            self.put(*change)
+        self.revision = max(revision, self.revision)
+        self.fresh_at = asked_at
+        if self._deleted:
+            self._deleted = {k: v for k, v in self._deleted.items() if v > self.revision}
+
+    def put(self, key: str, value: Any, version: int) -> None:
+        """Put in one change, own or followed, unless a newer one is known."""
+        old = self._entries.get(key)
+        if version <= (old.version if old else self._deleted.get(key, 0)):
+            return
+        if value is None:
+            self._deleted[key] = version
+            self._entries.pop(key, None)
+            if old is None:
+                return
+        else:
+            # A deletion that is known must not be undone by older news of
+            # the key: that is what `_deleted` remembers.
+            self._deleted.pop(key, None)
+            self._entries[key] = Change(key, value, version)
+        for prefix, listener in self._listeners:
+            if key.startswith(prefix):
+                listener(key, value, version)
+
+    def put_outcome(self, puts: dict[str, Any], deletes, revision: int) -> None:
+        """Put in a transaction of our own that was applied."""
+        for key, value in puts.items():
+            self.put(key, value, revision)
+        for key in deletes:
+            self.put(key, None, revision)
+
+
+class Verifier:
+    """Asks whether versions still hold, many questions in one request.
+
+    A question is only answered by a request that was sent after it was asked:
+    that makes an answer from the mirror as good as a read of the store.
+    """
+
+    def __init__(self, store: StoreClient, spawn: Callable) -> None:
+        self._store = store
+        self._spawn = spawn
+        self._asked: list[tuple[dict[str, int], AsyncResult]] = []
+        self._busy = False
+        self._most = store.limits.txn_ops * GUARDS_PER_OP
+
+    def holds(self, guards: dict[str, int], timeout: timedelta = timedelta(seconds=1.5)) -> bool:
+        """Whether each key has the given version; raises `StoreDown` if that can't be told."""
+        answer: AsyncResult = AsyncResult()
+        self._asked.append((guards, answer))
+        if not self._busy:
+            self._busy = True
+            self._spawn(self._drain)
+        answer.wait(timeout.total_seconds())
+        result = answer.value
+        if result is None:
+            raise StoreDown("versions could not be compared")
+        return result
+
+    def _drain(self) -> None:
+        try:
+            while self._asked:
+                self._answer_some()
+        finally:
+            self._busy = False
+
+    def _answer_some(self) -> None:
+        batch: list[tuple[dict[str, int], AsyncResult]] = []
+        guards: dict[str, int] = {}
+        later: list[tuple[dict[str, int], AsyncResult]] = []
+        for asked in self._asked:
+            versions, _ = asked
+            clash = any(guards.get(k, v) != v for k, v in versions.items())
+            if clash or len(guards) + len(versions) > self._most:
+                later.append(asked)
+            else:
+                guards |= versions
+                batch.append(asked)
+        self._asked = later
+        while batch:
+            outcome = self._store.commit(guards, timeout=timedelta(seconds=1.5))
+            if outcome.ending is Ending.CONFLICT and outcome.failed:
+                # Only a request that compared equal vouches for the others.
+                failed = set(outcome.failed)
+                for versions, answer in batch:
+                    if failed & versions.keys():
+                        answer.set(False)
+                batch = [b for b in batch if not b[1].ready()]
+                guards = {k: v for versions, _ in batch for k, v in versions.items()}
+                continue
+            verdict = True if outcome.ending is Ending.APPLIED else None
+            for _, answer in batch:
+                answer.set(verdict)
+            return
--- /dev/null
+++ b/kelpjunction/wire/messages.py
@@ -0,0 +1,163 @@
+"""The values that messages carry, in the field's standard terms."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum, IntEnum
+from typing import NamedTuple
+
+
+class Shape(Enum):
+    """What kind of job: independent tasks, all at once, or replicas."""
+
+    ARRAY = "array"
+    GANG = "gang"
+    SERVICE = "service"
+
+
+class Priority(IntEnum):
+    """Who may stop whom; the larger number wins."""
+
+    LOW = 0
+    NORMAL = 1
+    HIGH = 2
+    PRODUCTION = 3
+
+
+class TaskState(Enum):
+    """A task's state as its machine reports it."""
+
+    FETCHING = "fetching"
+    WAITING = "waiting"
+    RUNNING = "running"
+    SAVING = "saving"
+    EXITED = "exited"
+
+
+class Cause(Enum):
+    """Why a task exited."""
+
+    DONE = "done"
+    STOPPED = "stopped"
+    MATES_GONE = "mates gone"
+    INCOMPLETE = "gang incomplete"
+    ERROR = "error"
+    NO_ROOM = "no room"
+    IN_USE = "in use"
+    UNKNOWN = "unknown"
+    LOST = "machine lost"  # never on the wire: our own verdict
+
+
+class JobPhase(Enum):
+    """A job's state as a user sees it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+    CANCELLED = "cancelled"
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpec:
+    """A job as its user described it."""
+
+    ref: str
+    klass: str
+    team: str
+    shape: Shape
+    priority: Priority
+    tasks: int
+    cpus: float
+    gpus: float
+    memory: float
+    image: str
+    image_gb: float
+    types: tuple[str, ...] | None
+    zone: str | None
+    one_zone: bool
+    spread: bool
+    spot: bool
+    estimate: timedelta
+    checkpoint: timedelta
+    save: timedelta
+    deadline: timedelta | None
+
+
+class TaskId(NamedTuple):
+    """One task of a job."""
+
+    ref: str
+    index: int
+
+    def __str__(self) -> str:
+        return f"{self.ref}/{self.index}"
+
+
+class TaskReport(NamedTuple):
+    """One task as a machine reports it."""
+
+    task: TaskId
+    attempt: int
+    state: TaskState
+    cause: Cause | None
+    saved: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What a worker says of its machine."""
+
+    machine: str
+    address: str
+    type: str
+    zone: str
+    spot: bool
+    session: int
+    sequence: int
+    token: int
+    notice: timedelta | None
+    tasks: tuple[TaskReport, ...]
+
+
+class Verb(Enum):
+    """What a worker can be told."""
+
+    START = "start"
+    STOP = "stop"
+    FORGET = "forget"
+
+
+class Command(NamedTuple):
+    """One command to a worker."""
+
+    verb: Verb
+    task: TaskId
+    attempt: int
+    grace: timedelta = timedelta()
+
+
+@dataclass(frozen=True, slots=True)
+class MachineType:
+    """One line of the cloud's catalog."""
+
+    name: str
+    cpus: float
+    gpus: float
+    memory: float
+    cache_gb: float
+    fetch_gb_per_s: float
+    price: float
+    spot_price: float
+    boot: timedelta
+    zones: tuple[str, ...]
+
+
+class ListedMachine(NamedTuple):
+    """One line of the cloud's machine list."""
+
+    machine: str
+    address: str
+    type: str
+    zone: str
+    spot: bool
+    state: str  # booting, running or failed
+    age: timedelta
--- /dev/null
+++ b/kelpjunction/wire/state.py
@@ -0,0 +1,106 @@
+"""Messages between controllers and the state service."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+from urllib.parse import quote
+
+import orjson
+
+from kelpjunction.wire.users import Malformed
+
+COMMIT_PATH = "/commit"
+HOLDS_PATH = "/holds"
+MAX_TXN_BYTES = 60 * 1024
+GUARDS_PER_OP = 4
+
+
+class Change(NamedTuple):
+    """One key's new value; None means that it was deleted."""
+
+    key: str
+    value: Any
+    version: int
+
+
+def key_path(key: str) -> str:
+    return f"/store/{key}"
+
+
+def scan_path(prefix: str, after: str | None, limit: int) -> str:
+    since = f"&since={quote(after, safe='')}" if after else ""
+    return f"/store?prefix={quote(prefix, safe='')}{since}&most={limit}"
+
+
+def follow_path(prefix: str, since: int, wait_ms: int) -> str:
+    return f"/follow?prefix={quote(prefix, safe='')}&since={since}&hold_ms={wait_ms}"
+
+
+def hold_body(ttl_ms: int) -> bytes:
+    return orjson.dumps({"ttl_ms": ttl_ms})
+
+
+def hold_path(hold: int, end: str = "") -> str:
+    return f"{HOLDS_PATH}/{hold}{end}"
+
+
+def commit_body(
+    guards: Mapping[str, int], puts: Mapping[str, Any], deletes: Iterable[str], holds: Mapping[str, int]
+) -> bytes:
+    """A transaction; `holds` names the hold that a put is attached to."""
+    then: list[dict] = []
+    for key, value in puts.items():
+        change = {"set": key, "data": value}
+        if key in holds:
+            change["mooring"] = holds[key]
+        then.append(change)
+    then.extend({"delete": key} for key in deletes)
+    body: dict[str, Any] = {"guards": [{"key": k, "stamp": v} for k, v in guards.items()]}
+    if then:
+        body["then"] = then
+    return orjson.dumps(body)
+
+
+def parse_revision(fields: dict) -> int:
+    revision = fields.get("ledger")
+    if not isinstance(revision, int):
+        raise Malformed("state service answer without ledger")
+    return revision
+
+
+def parse_hold(fields: dict) -> int:
+    hold = fields.get("mooring")
+    if not isinstance(hold, int):
+        raise Malformed("hold answer without mooring")
+    return hold
+
+
+def parse_failed(fields: dict) -> tuple[str, ...]:
+    failed = fields.get("failed")
+    return tuple(failed) if isinstance(failed, list) else ()
+
+
+def parse_entry(fields: dict) -> Change:
+    try:
+        return Change(fields["key"], fields["data"], int(fields["stamp"]))
+    except (KeyError, TypeError, ValueError) as error:
+        raise Malformed(f"state service entry: {error!r}") from error
+
+
+def parse_page(fields: dict) -> tuple[list[Change], bool, int]:
+    """One page of a listing: its entries, whether more follow, the revision it was read at."""
+    pairs = fields.get("pairs")
+    if not isinstance(pairs, list):
+        raise Malformed("state service listing without pairs")
+    return [parse_entry(p) for p in pairs], bool(fields.get("has_next")), parse_revision(fields)
+
+
+def parse_news(fields: dict) -> tuple[list[Change], int]:
+    """The changes a follow brought, and the revision it reached."""
+    try:
+        news = [
+            Change(n["set"], n["data"], int(n["stamp"])) if "set" in n else Change(n["delete"], None, int(n["stamp"]))
+            for n in fields.get("news") or ()
+        ]
+    except (KeyError, TypeError, ValueError) as error:
+        raise Malformed(f"follow answer: {error!r}") from error
+    return news, parse_revision(fields)
--- /dev/null
+++ b/kelpjunction/wire/users.py
@@ -0,0 +1,146 @@
+"""Messages between users and controllers."""
+
+import re
+from typing import Any
+
+import fastjsonschema
+import orjson
+
+from kelpjunction.clock import seconds
+from kelpjunction.wire.messages import JobPhase, JobSpec, Priority, Shape
+
+MAX_BODY = 64 * 1024
+JOBS_PATH = "/api/jobs"
+HEALTH_PATH = "/healthz"
+ABORT_END = "/abort"
+
+_REF = re.compile(r"j-[0-9]{1,30}\Z")
+_SHAPES = {"batch": Shape.ARRAY, "ensemble": Shape.GANG, "service": Shape.SERVICE}
+_PRIORITIES = {
+    "prod": Priority.PRODUCTION,
+    "high": Priority.HIGH,
+    "standard": Priority.NORMAL,
+    "low": Priority.LOW,
+}
+_PHASES = {
+    JobPhase.QUEUED: "pending",
+    JobPhase.RUNNING: "running",
+    JobPhase.DONE: "done",
+    JobPhase.CANCELLED: "withdrawn",
+}
+
+_name = {"type": "string", "minLength": 1, "maxLength": 200}
+_amount = {"type": "number", "minimum": 0, "maximum": 1e9}
+_need = {"type": "number", "exclusiveMinimum": 0, "maximum": 1e9}
+_maybe = {"type": ["boolean", "null"]}
+
+_check_job = fastjsonschema.compile(
+    {
+        "type": "object",
+        "required": ["ref", "stripe", "crew", "shape", "urgency", "fronds", "cpus", "ram_gb", "bundle"],
+        "properties": {
+            "stripe": _name,
+            "crew": _name,
+            "shape": {"enum": list(_SHAPES)},
+            "urgency": {"enum": list(_PRIORITIES)},
+            "fronds": {"type": "integer", "minimum": 1, "maximum": 100_000},
+            "cpus": _amount,
+            "accelerators": {"type": ["number", "null"], "minimum": 0, "maximum": 1e9},
+            "ram_gb": _amount,
+            "bundle": _name,
+            "image_gb": {"type": ["number", "null"], "minimum": 0, "maximum": 1e9},
+            "hulls": {"type": ["array", "null"], "items": _name, "maxItems": 1000},
+            "bay": {"type": ["string", "null"], "maxLength": 200},
+            "together": _maybe,
+            "apart": _maybe,
+            "driftwood": _maybe,
+            "expect_s": {"type": ["number", "null"], "minimum": 0, "maximum": 1e9},
+            "mark_s": {"type": ["number", "null"], "minimum": 0, "maximum": 1e9},
+            "stow_s": {"type": ["number", "null"], "minimum": 0, "maximum": 1e9},
+            "due_s": {"type": ["number", "null"], "minimum": 0, "maximum": 1e9},
+        },
+    }
+)
+
+
+class Malformed(Exception):
+    """A message that breaks the protocol; the text names the field."""
+
+
+def valid_ref(ref: Any) -> bool:
+    """Whether this can be a job's id at all."""
+    return isinstance(ref, str) and _REF.match(ref) is not None
+
+
+def parse_object(body: bytes) -> dict:
+    """The JSON object in a body."""
+    try:
+        fields = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise Malformed(f"body is not JSON: {error}") from error
+    if not isinstance(fields, dict):
+        raise Malformed("body must be an object")
+    return fields
+
+
+def parse_job(fields: dict) -> JobSpec:
+    """A submission's fields as a job; raises `Malformed` naming the first wrong field."""
+    if not valid_ref(fields.get("ref")):
+        raise Malformed("ref must look like j-000412")
+    try:
+        _check_job(fields)
+    except fastjsonschema.JsonSchemaValueException as error:
+        raise Malformed(error.message.removeprefix("data.")) from error
+    return job_from_fields(fields)
+
+
+def job_from_fields(fields: dict) -> JobSpec:
+    """A job from fields that were checked when they were accepted."""
+    types = fields.get("hulls")
+    deadline = fields.get("due_s")
+    return JobSpec(
+        ref=fields["ref"],
+        klass=fields["stripe"],
+        team=fields["crew"],
+        shape=_SHAPES[fields["shape"]],
+        priority=_PRIORITIES[fields["urgency"]],
+        tasks=int(fields["fronds"]),
+        cpus=float(fields["cpus"]),
+        gpus=float(fields.get("accelerators") or 0),
+        memory=float(fields["ram_gb"]),
+        image=fields["bundle"],
+        image_gb=float(fields.get("image_gb") or 0),
+        types=None if types is None else tuple(types),
+        zone=fields.get("bay") or None,
+        one_zone=bool(fields.get("together")),
+        spread=bool(fields.get("apart")),
+        spot=bool(fields.get("driftwood")),
+        estimate=seconds(fields.get("expect_s") or 0),
+        checkpoint=seconds(fields.get("mark_s") or 0),
+        save=seconds(fields.get("stow_s") or 0),
+        deadline=None if deadline is None else seconds(deadline),
+    )
+
+
+_KEPT = frozenset(
+    {"ref", "stripe", "crew", "shape", "urgency", "fronds", "cpus", "accelerators", "ram_gb", "bundle"}
+    | {"image_gb", "hulls", "bay", "together", "apart", "driftwood", "expect_s", "mark_s", "stow_s", "due_s"}
+)
+
+
+def fields_to_keep(fields: dict) -> dict:
+    """The part of a submission that is stored: the known fields that say something."""
+    return {name: value for name, value in fields.items() if name in _KEPT and value is not None}
+
+
+def job_answer(ref: str, phase: JobPhase, done: int | None = None, running: int | None = None) -> bytes:
+    """The body that tells a user how a job stands."""
+    fields: dict[str, Any] = {"ref": ref, "tide": _PHASES[phase]}
+    if done is not None:
+        fields |= {"done": done, "running": running}
+    return orjson.dumps(fields)
+
+
+def error_answer(text: str) -> bytes:
+    """The body of a refusal: one plain line."""
+    return orjson.dumps({"error": text.replace("\n", " ")[:500]})
--- /dev/null
+++ b/kelpjunction/workers/roster.py
@@ -0,0 +1,306 @@
+"""The workers that a leader serves."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from kelpjunction.blocks import Blocks
+from kelpjunction.clock import ZERO, Clock, seconds
+from kelpjunction.jobs.book import Book, Phase, Placement
+from kelpjunction.leadership import DRIFT, Leadership
+from kelpjunction.settings import WorkerTimes
+from kelpjunction.transport import NoAnswer, Transport
+from kelpjunction.wire import workers as wire
+from kelpjunction.wire.messages import Cause, Command, Report, TaskId, TaskReport, TaskState, Verb
+from kelpjunction.wire.users import Malformed
+
+log = logging.getLogger("workers")
+
+DIRECT_TIMEOUT = timedelta(seconds=2)
+_PHASE_OF = {
+    TaskState.FETCHING: Phase.FETCHING,
+    TaskState.WAITING: Phase.WAITING,
+    TaskState.RUNNING: Phase.RUNNING,
+    TaskState.SAVING: Phase.STOPPING,
+}
+
+
+@dataclass(slots=True)
+class Worker:
+    """One worker as the leader knows it from its reports."""
+
+    machine: str
+    address: str
+    zone: str
+    session: int = 0
+    sequence: int = 0
+    token: int = 0
+    heard_at: timedelta = ZERO
+    answered_at: timedelta | None = None  # when its lease was last renewed, at the latest
+    notice_at: timedelta | None = None  # when the cloud takes the machine, as announced
+    doubt: int = 0  # commands under tokens up to this one may still arrive
+    tasks: dict[TaskId, list[TaskReport]] = field(default_factory=dict)
+    images: dict[str, float] = field(default_factory=dict)  # most recently used last
+
+
+class Roster:
+    """All workers, and every dealing with them."""
+
+    def __init__(
+        self,
+        times: WorkerTimes,
+        book: Book,
+        blocks: Blocks,
+        leadership: Leadership,
+        transport: Transport,
+        clock: Clock,
+        spawn: Callable,
+        wake: Callable[[], None],
+    ) -> None:
+        self._times = times
+        self._book = book
+        self._blocks = blocks
+        self._leadership = leadership
+        self._transport = transport
+        self._clock = clock
+        self._spawn = spawn
+        self._wake = wake
+        self.workers: dict[str, Worker] = {}
+        self.bump_zones: set[str] = set()
+        self.on_seen: Callable[[Report], None] = lambda report: None
+        self.on_exit: Callable[[Placement], None] = lambda placement: None
+
+    def clear(self) -> None:
+        """Start a reign: nothing that was known before counts."""
+        self.workers = {}
+        self.bump_zones = set()
+
+    # -- check-ins ----------------------------------------------------------
+
+    def check_in(self, report: Report) -> tuple[int, bytes]:
+        """Answer a worker's report: status and body."""
+        token = self._blocks.token(report.zone)
+        if not self._leadership.may_answer() or token is None or report.token > token:
+            return 503, b"{}"
+        now = self._clock.steady()
+        self._take(report, now, direct=False)
+        worker = self.workers[report.machine]
+        worker.answered_at = now
+        if report.session < worker.session:
+            return 503, b"{}"
+        commands = self._commands_for(worker, token, now)
+        return 200, wire.check_in_answer(token, commands)
+
+    def _take(self, report: Report, now: timedelta, direct: bool) -> None:
+        """Take in a report, unless a newer one is known already."""
+        worker = self.workers.get(report.machine)
+        if worker is None:
+            # Commands of earlier reigns may still be under way, under any
+            # token below ours.
+            worker = Worker(report.machine, report.address, report.zone)
+            worker.doubt = (self._blocks.token(report.zone) or 1) - 1
+            self.workers[report.machine] = worker
+        if (report.session, report.sequence) <= (worker.session, worker.sequence):
+            return
+        new_session = report.session > worker.session
+        worker.session, worker.sequence = report.session, report.sequence
+        worker.token = max(worker.token, report.token)
+        worker.heard_at, worker.address = now, report.address
+        worker.notice_at = None if report.notice is None else now + report.notice
+        worker.tasks = {}
+        for told in report.tasks:
+            worker.tasks.setdefault(told.task, []).append(told)
+        self.on_seen(report)
+        listed: set[Placement] = set()
+        for told in report.tasks:
+            placement = self._book.placement(told.task)
+            if self._is_here(placement, worker, told.attempt):
+                listed.add(placement)
+                self._hear(worker, placement, told, now)
+        for placement in list(self._book.on_machine.get(worker.machine, {}).values()):
+            if placement.session < worker.session:
+                # The worker killed everything of that session when it ended.
+                self.settle(placement, Cause.LOST, now)
+            elif placement not in listed and not direct:
+                self._hear_nothing(worker, placement, now)
+        if new_session:
+            self._wake()
+
+    def _is_here(self, placement: Placement | None, worker: Worker, attempt: int) -> bool:
+        return (
+            placement is not None
+            and placement.machine == worker.machine
+            and placement.session == worker.session
+            and placement.attempt == attempt
+        )
+
+    def _hear(self, worker: Worker, placement: Placement, told: TaskReport, now: timedelta) -> None:
+        placement.seen = True
+        if told.state is TaskState.EXITED:
+            self.settle(placement, told.cause, now, told.saved)
+            return
+        phase = _PHASE_OF[told.state]
+        if phase is not Phase.FETCHING:
+            self._use_image(worker, placement)
+        if phase is Phase.RUNNING and placement.phase not in (Phase.RUNNING, Phase.STOPPING):
+            self._wake()
+        placement.advance(phase, now)
+
+    def _use_image(self, worker: Worker, placement: Placement) -> None:
+        worker.images.pop(placement.spec.image, None)
+        worker.images[placement.spec.image] = placement.spec.image_gb
+
+    def _hear_nothing(self, worker: Worker, placement: Placement, now: timedelta) -> None:
+        """A check-in of this very session does not list the placement.
+
+        That settles it only if no start command can still be on its way: one
+        sent straight to the worker without an answer may arrive minutes
+        later, unless the worker has seen a higher token since.
+        """
+        gone = placement.seen or not placement.live
+        if gone and placement.inflight == 0 and worker.token > worker.doubt:
+            self.settle(placement, Cause.STOPPED if not placement.live else Cause.LOST, now)
+
+    def settle(self, placement: Placement, cause: Cause, now: timedelta, saved: bool = False) -> None:
+        """The placement is surely off its machine: the next round writes that down."""
+        if placement.phase is Phase.SETTLED:
+            return
+        placement.cause, placement.saved = cause, saved
+        placement.advance(Phase.SETTLED, now)
+        if cause not in (Cause.DONE, Cause.STOPPED):
+            log.info("%s attempt %d on %s: %s", placement.task, placement.attempt, placement.machine, cause.value)
+        self.on_exit(placement)
+        self._wake()
+
+    # -- commands -----------------------------------------------------------
+
+    def _commands_for(self, worker: Worker, token: int, now: timedelta) -> list[Command]:
+        """What the worker must be told, from what it has and what it should have."""
+        commands: list[Command] = []
+        here = self._book.on_machine.get(worker.machine, {})
+        for told_list in worker.tasks.values():
+            for told in told_list:
+                placement = here.get(told.task)
+                ours = self._is_here(placement, worker, told.attempt)
+                if told.state is TaskState.EXITED:
+                    # Forget only once the result is stored, and only when no
+                    # earlier start command can arrive and start it again.
+                    if not ours and token > worker.doubt:
+                        commands.append(Command(Verb.FORGET, told.task, told.attempt))
+                elif not ours:
+                    commands.append(Command(Verb.STOP, told.task, told.attempt))
+                elif not placement.live:
+                    commands.append(Command(Verb.STOP, told.task, told.attempt, placement.grace))
+        for placement in here.values():
+            absent = placement.task not in worker.tasks or all(
+                t.attempt != placement.attempt for t in worker.tasks[placement.task]
+            )
+            if absent and placement.live and placement.session == worker.session and not placement.seen:
+                placement.advance(Phase.STARTED, now)
+                commands.append(Command(Verb.START, placement.task, placement.attempt))
+        return commands
+
+    def stop(self, placement: Placement, grace: timedelta, reason: str) -> None:
+        """Decide to stop a placement; `send` or the next check-in tells the worker."""
+        if placement.live:
+            placement.grace, placement.reason = grace, reason
+            placement.advance(Phase.STOPPING, self._clock.steady())
+
+    def command_of(self, placement: Placement) -> Command:
+        if placement.live:
+            return Command(Verb.START, placement.task, placement.attempt)
+        return Command(Verb.STOP, placement.task, placement.attempt, placement.grace)
+
+    def send(self, placements: list[Placement]) -> None:
+        """Tell workers at once to start or stop these."""
+        by_machine: dict[str, list[Placement]] = {}
+        for placement in placements:
+            by_machine.setdefault(placement.machine, []).append(placement)
+        for machine, group in by_machine.items():
+            worker = self.workers.get(machine)
+            token = self._blocks.token(worker.zone) if worker else None
+            if token is None or not self._leadership.may_answer():
+                continue
+            now = self._clock.steady()
+            for placement in group:
+                placement.inflight += 1
+                if placement.live:
+                    placement.advance(Phase.STARTED, now)
+            commands = [self.command_of(p) for p in group]
+            self._spawn(self._send, worker, token, commands, group)
+
+    def _send(self, worker: Worker, token: int, commands: list[Command], group: list[Placement]) -> None:
+        session = group[0].session if group else worker.session
+        answered = self._post(worker, token, session, commands)
+        for placement in group:
+            placement.inflight -= 1
+        if not answered:
+            worker.doubt = max(worker.doubt, token)
+            self.bump_zones.add(worker.zone)
+
+    def _post(self, worker: Worker, token: int, session: int, commands: list[Command]) -> bool:
+        body = wire.commands_body(token, session, commands)
+        try:
+            reply = self._transport.request(worker.address, "POST", wire.COMMANDS_PATH, body, DIRECT_TIMEOUT)
+        except NoAnswer as error:
+            log.info("commands to %s: no answer (%s)", worker.machine, error)
+            return False
+        if reply.status not in (200, 409):
+            return False
+        return self._take_reply(reply.fields)
+
+    def _take_reply(self, fields: dict) -> bool:
+        try:
+            report = wire.report_from_fields(fields)
+        except Malformed as error:
+            log.error("odd report from a worker: %s", error)
+            return False
+        if self._leadership.reign is not None:
+            self._take(report, self._clock.steady(), direct=True)
+        return True
+
+    def visit(self, address: str) -> bool:
+        """Ask a worker how it stands, without waiting for its report."""
+        try:
+            reply = self._transport.request(address, "GET", wire.STATUS_PATH, None, DIRECT_TIMEOUT)
+        except NoAnswer:
+            return False
+        return reply.status == 200 and self._take_reply(reply.fields)
+
+    # -- leases -------------------------------------------------------------
+
+    def lease_end(self, machine: str) -> timedelta | None:
+        """When the worker's lease has certainly ended if nobody renews it from now on.
+
+        Until a worker has shown our token, the leader before us may have been
+        renewing it for as long as it was allowed to without the store.
+        """
+        reign = self._leadership.reign
+        if reign is None:
+            return None
+        worker = self.workers.get(machine)
+        renewed = worker.answered_at if worker else None
+        token = self._blocks.token(worker.zone) if worker else None
+        if worker is None or token is None or worker.token < token:
+            earlier = reign.began + self._leadership.grace
+            renewed = earlier if renewed is None else max(renewed, earlier)
+        if renewed is None:
+            renewed = worker.heard_at
+        return renewed + self._times.lease * DRIFT + seconds(1)
+
+    def settle_expired(self) -> None:
+        """Settle what stood on machines whose leases have certainly ended."""
+        now = self._clock.steady()
+        for machine, there in list(self._book.on_machine.items()):
+            end = self.lease_end(machine)
+            if end is not None and now > end:
+                for placement in list(there.values()):
+                    self.settle(placement, Cause.LOST, now)
+
+    def settle_machine(self, machine: str) -> None:
+        """The cloud confirmed that the machine is gone, and everything on it."""
+        now = self._clock.steady()
+        for placement in list(self._book.on_machine.get(machine, {}).values()):
+            self.settle(placement, Cause.LOST, now)
+        self.workers.pop(machine, None)
