Keep scarce machines for accelerator work; rent no costly room for plain work

A silent machine was only let go after 14 s.

Change: machines that recent accelerator work needs give away only the room such work leaves; plain arrays neither start on nor rent machines beyond a price cap; silence is noticed after 1.25 reports and a second.

--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -10,12 +10,13 @@
 from kelpjunction.fleet.machines import Machine, MachineState
 from kelpjunction.jobs.book import Book, Placement
 from kelpjunction.leadership import LEAD_KEY, Reign
+from kelpjunction.placement import type_fits
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Ending, StoreClient
 from kelpjunction.store.mirror import Mirror
 from kelpjunction.transport import NoAnswer, Reply, Transport
 from kelpjunction.wire import cloud as wire
-from kelpjunction.wire.messages import Cause, ListedMachine, MachineType, Report, Shape
+from kelpjunction.wire.messages import Cause, JobSpec, ListedMachine, MachineType, Report, Shape
 from kelpjunction.wire.users import Malformed
 from kelpjunction.workers.roster import Roster
 
@@ -70,6 +71,7 @@
         self._gone: dict[str, timedelta] = {}
         self.machines: dict[str, Machine] = {}
         self.wants: list[Want] = []
+        self._scarce: dict[tuple, tuple[JobSpec, timedelta]] = {}
         self._parsed: tuple[int, dict[str, MachineType]] = (0, {})
         roster.on_seen = self._seen
         roster.on_exit = self._exited
@@ -91,6 +93,7 @@
     def begin(self, reign: Reign | None) -> None:
         """Start a reign from the records, or end one."""
         self._reign = reign
+        self._scarce = {}
         self.machines = {}
         self._requests = 0
         self._refused, self._gone = {}, {}
@@ -234,7 +237,7 @@
     def _watch_silent(self) -> None:
         """Find machines that stopped reporting or never came up, and let them go."""
         now = self._clock.steady()
-        limit = self._platform.workers.report * 2.5 + seconds(1.5)
+        limit = self._platform.workers.report * 1.25 + seconds(1)
         for machine in list(self.machines.values()):
             worker = self._roster.workers.get(machine.name)
             if machine.state is MachineState.BOOTING and worker is None:
@@ -293,7 +296,8 @@
 
     def _note_idle(self, now: timedelta) -> None:
         """Mark idle machines, and let go those that cost more than they are worth."""
-        gang_types = self._types_kept()
+        kept = {n for n, t in self.catalog.items() if any(type_fits(s, t) for s in self.scarce)}
+        spare = self._room() - self._room_wanted()
         for machine in self.machines.values():
             if self._book.on_machine.get(machine.name):
                 machine.idle_since = None
@@ -302,34 +306,70 @@
                 machine.become(MachineState.RETURNING, now, "faulty and empty")
             if machine.idle_since is None:
                 machine.idle_since = now
-            if not self._platform.price_matters or machine.state is not MachineState.UP:
+            if machine.state is not MachineState.UP or machine.type in kept:
                 continue
-            idle = now - machine.idle_since
-            if machine.type in gang_types:
+            type_ = self.catalog.get(machine.type)
+            if type_ is None or (not self._platform.price_matters and spare < type_.cpus):
                 continue
+            idle = now - machine.idle_since
             if idle > self._operators.idle_return and now - machine.rented_at > MINIMUM_CHARGE:
                 machine.become(MachineState.RETURNING, now, f"idle for {idle.total_seconds():.0f} s")
+                spare -= type_.cpus
 
-    def _types_kept(self) -> set[str]:
-        """Types that only gangs or accelerator work of live jobs call for: they boot too slowly to come and go."""
-        kept: set[str] = set()
+    def note_scarce(self) -> None:
+        """Remember which work needs accelerators: its machines boot too slowly to come and go."""
+        now = self._clock.steady()
         for job in self._book.jobs.values():
-            if job.spec.gpus > 0:
-                kept |= {n for n, t in self.catalog.items() if t.gpus + 1e-6 >= job.spec.gpus}
-        return kept
+            if job.spec.gpus > 0 and not job.cancelled:
+                need = (job.spec.types, job.spec.zone, job.spec.cpus, job.spec.gpus, job.spec.memory)
+                self._scarce[need] = (job.spec, now)
+        self._scarce = {
+            need: (spec, at) for need, (spec, at) in self._scarce.items() if now - at < self._operators.gang_memory
+        }
+
+    @property
+    def scarce(self) -> list[JobSpec]:
+        """Examples of the work that needs accelerators, of late."""
+        return [spec for spec, _ in self._scarce.values()]
+
+    def costly(self, machine: Machine) -> bool:
+        """Whether the machine costs more than plain work is worth, where the price is an aim."""
+        type_ = self.catalog.get(machine.type)
+        if not self._platform.price_matters or type_ is None:
+            return False
+        price = (type_.spot_price if machine.spot else type_.price) / max(type_.cpus, 0.01)
+        least = min(min(t.spot_price, t.price) / max(t.cpus, 0.01) for t in self.catalog.values())
+        return price > self._operators.price_cap * least
+
+    def _live(self) -> list[Machine]:
+        return [m for m in self.machines.values() if m.state in (MachineState.BOOTING, MachineState.UP)]
+
+    def _room(self) -> float:
+        """CPUs that are there or on their way."""
+        return sum(self.catalog[m.type].cpus for m in self._live() if m.type in self.catalog)
+
+    def _room_wanted(self) -> float:
+        """CPUs to have where the price is no aim: what is in use or waits, and a share to spare."""
+        used = sum(
+            (job.placed_count() + job.waiting_count()) * job.spec.cpus
+            for job in self._book.jobs.values()
+            if not job.cancelled
+        )
+        return used * (1 + self._operators.spare_share)
 
     # -- renting ------------------------------------------------------------
 
     def _rent_some(self) -> None:
         now = self._clock.steady()
         self._refused = {o: t for o, t in self._refused.items() if t > now}
-        live = [m for m in self.machines.values() if m.state in (MachineState.BOOTING, MachineState.UP)]
+        live = self._live()
         supply = Counter(m.zone for m in live)
         coming = Counter(m.type for m in live if m.state is MachineState.BOOTING)
         refused = set(self._refused)
-        request = to_rent(self.wants, self.catalog, coming, refused, supply, most=4)
+        cap = self._operators.price_cap if self._platform.price_matters else None
+        request = to_rent(self.wants, self.catalog, coming, refused, supply, most=4, cap=cap)
         if request is None and not self._platform.price_matters and sum(coming.values()) < 6:
-            request = to_rent(self._spare_wants(live), self.catalog, {}, refused, supply, most=4)
+            request = to_rent(self._spare_wants(), self.catalog, {}, refused, supply, most=4)
         if request is None:
             return
         offer, count = request
@@ -339,25 +379,15 @@
         if self._write({RENT_PREFIX + name: intent}):
             self._ask_for(name, intent)
 
-    def _spare_wants(self, live: list[Machine]) -> list[Want]:
-        """Room to keep free where the price is no aim: a share of what is in use."""
-        used: Counter = Counter()
-        sample = {}
-        for job in self._book.jobs.values():
-            if job.spec.shape is Shape.GANG:
-                continue
-            key = (job.spec.spot, job.spec.types)
-            used[key] += job.placed_count() * job.spec.cpus
-            sample.setdefault(key, job.spec)
-        total = sum(self.catalog[m.type].cpus for m in live if m.type in self.catalog)
-        want = sum(used.values()) * (1 + self._operators.spare_share)
-        wants = []
-        # Services cannot use spot machines, so room for them comes first.
-        for _, spec in sorted(sample.items(), key=lambda item: item[0][0]):
-            missing = (want - total) / max(spec.cpus, 0.01)
-            if missing >= 1:
-                wants.append(Want(spec, int(missing)))
-        return wants
+    def _spare_wants(self) -> list[Want]:
+        """Room to keep free where the price is no aim, for services first: they can't use spot machines."""
+        missing = self._room_wanted() - self._room()
+        samples = {job.spec.spot: job.spec for job in self._book.jobs.values() if job.spec.shape is not Shape.GANG}
+        return [
+            Want(spec, int(missing / max(spec.cpus, 0.01)))
+            for _, spec in sorted(samples.items())
+            if missing >= max(spec.cpus, 0.01)
+        ]
 
     def _repeat_requests(self) -> None:
         """Ask again for what was written down and not settled, under the same name."""
--- a/kelpjunction/fleet/demand.py
+++ b/kelpjunction/fleet/demand.py
@@ -22,18 +22,28 @@
     tasks: int
 
 
-def offers(spec: JobSpec, catalog: dict[str, MachineType]) -> list[Offer]:
-    """What could be rented for this job, the cheapest room first."""
+def price_per_slot(spec: JobSpec, type_: MachineType, spot: bool) -> float:
+    """What an hour of room for one task costs on a machine of this type."""
+    return (type_.spot_price if spot else type_.price) / slots_on(spec, type_)
+
+
+def offers(spec: JobSpec, catalog: dict[str, MachineType], cap: float | None = None) -> list[Offer]:
+    """What could be rented for this job, the cheapest room first.
+
+    With a `cap`, what costs more than that many times the cheapest room is
+    left out, unless nothing else fits the job.
+    """
     found: list[tuple[float, Offer]] = []
     for type_ in catalog.values():
         if not type_fits(spec, type_):
             continue
-        slots = slots_on(spec, type_)
         for zone in type_.zones:
             if spec.zone in (None, zone):
-                found.append((type_.price / slots, Offer(type_.name, zone, False)))
-                if spec.spot:
-                    found.append((type_.spot_price / slots, Offer(type_.name, zone, True)))
+                kinds = (False, True) if spec.spot else (False,)
+                found.extend((price_per_slot(spec, type_, k), Offer(type_.name, zone, k)) for k in kinds)
+    if cap is not None and found:
+        least = min(found)[0]
+        found = [(price, offer) for price, offer in found if price <= cap * least]
     return [offer for _, offer in sorted(found)]
 
 
@@ -53,6 +63,7 @@
     refused: set[Offer],
     supply: dict[str, int],
     most: int,
+    cap: float | None = None,
 ) -> tuple[Offer, int] | None:
     """The next request for machines, or None.
 
@@ -63,7 +74,7 @@
     coming = dict(coming)
     for want in wants:
         left = want.tasks
-        choices = offers(want.spec, catalog)
+        choices = offers(want.spec, catalog, cap)
         for name in {o.type for o in choices}:
             slots = slots_on(want.spec, catalog[name])
             used = min(coming.get(name, 0), -(-left // slots))
--- a/kelpjunction/jobs/rounds.py
+++ b/kelpjunction/jobs/rounds.py
@@ -30,7 +30,7 @@
     ranges,
 )
 from kelpjunction.leadership import LEAD_KEY, Leadership
-from kelpjunction.placement import Victim, View, choose_victims, place, place_gang
+from kelpjunction.placement import Victim, View, allowed, choose_victims, place, place_gang, type_fits
 from kelpjunction.queue import Usage, Waiting, in_order
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Ending, StoreClient, StoreDown, Transaction
@@ -387,6 +387,7 @@
         self._fleet.wants = []
         if not waiting:
             return
+        self._fleet.note_scarce()
         views = self._views()
         usage = self._usage()
         order = in_order(
@@ -523,9 +524,13 @@
                 type_.memory,
                 images=set(self._cached(worker, type_.cache_gb)),
                 shunned=bool(machine.failed_jobs),
+                costly=self._fleet.costly(machine),
             )
             for placement in self._book.on_machine.get(machine.name, {}).values():
                 view.take(placement.spec)
+            for spec in self._fleet.scarce:
+                if type_fits(spec, type_) and allowed(spec, type_, view.zone, view.spot):
+                    view.keep_for(spec)
             views.append(view)
         return views
 
--- a/kelpjunction/placement/__init__.py
+++ b/kelpjunction/placement/__init__.py
@@ -31,10 +31,28 @@
     tasks: int = 0
     shunned: bool = False
     held_for: str | None = None
+    costly: bool = False
+    # What work that needs no accelerator must leave free here, since work
+    # that needs one can go nowhere else.
+    kept: bool = False
+    kept_cpus: float = 0.0
+    kept_memory: float = 0.0
 
     def fits(self, spec: JobSpec) -> bool:
         """Whether one more task of this job has room here."""
-        return self.cpus + SLACK >= spec.cpus and self.gpus + SLACK >= spec.gpus and self.memory + SLACK >= spec.memory
+        guest = spec.gpus <= 0
+        return (
+            self.cpus + SLACK >= spec.cpus + (self.kept_cpus if guest else 0.0)
+            and self.gpus + SLACK >= spec.gpus
+            and self.memory + SLACK >= spec.memory + (self.kept_memory if guest else 0.0)
+        )
+
+    def keep_for(self, spec: JobSpec) -> None:
+        """Leave room here for one task of a job that has nowhere else to go."""
+        self.kept = True
+        if self.gpus + SLACK >= spec.gpus:
+            self.kept_cpus = max(self.kept_cpus, spec.cpus)
+            self.kept_memory = max(self.kept_memory, spec.memory)
 
     def capacity(self, spec: JobSpec) -> int:
         """How many tasks of this job have room here."""
@@ -98,7 +116,9 @@
 
 def waste(spec: JobSpec, view: View) -> float:
     """What the machine has that the job does not need: scarce types are left alone."""
-    return 0.0 if spec.gpus > 0 else view.type.gpus
+    if spec.gpus > 0 or view.kept:
+        return 0.0  # it is kept anyway, and only its rest is given away
+    return view.type.gpus
 
 
 def _score(spec: JobSpec, view: View, zones: Counter, mates: Counter) -> tuple:
@@ -121,6 +141,13 @@
     return (view.shunned, waste(spec, view), fetch, not view.spot, view.cpus, view.name)
 
 
+def _usable(spec: JobSpec, views: Sequence[View]) -> list[View]:
+    """Machines where at least one task of the job could start now."""
+    return [
+        v for v in views if v.held_for in (None, spec.ref) and allowed(spec, v.type, v.zone, v.spot) and v.fits(spec)
+    ]
+
+
 def place(spec: JobSpec, count: int, views: Sequence[View], zones: Counter, mates: Counter) -> list[View]:
     """Machines for up to `count` tasks of an array or service, one entry a task.
 
@@ -128,9 +155,7 @@
     brought up to date, as are the views.
     """
     chosen: list[View] = []
-    usable = [
-        v for v in views if v.held_for in (None, spec.ref) and allowed(spec, v.type, v.zone, v.spot) and v.fits(spec)
-    ]
+    usable = [v for v in _usable(spec, views) if not (v.costly and spec.shape is Shape.ARRAY)]
     while len(chosen) < count:
         usable = [v for v in usable if v.fits(spec) and zone_room(spec, zones, v.zone) > 0]
         if not usable:
@@ -145,9 +170,7 @@
 
 def place_gang(spec: JobSpec, views: Sequence[View]) -> list[View] | None:
     """Machines for a whole gang, one entry a task, or None if it does not fit."""
-    usable = [
-        v for v in views if v.held_for in (None, spec.ref) and allowed(spec, v.type, v.zone, v.spot) and v.fits(spec)
-    ]
+    usable = _usable(spec, views)
     by_zone: dict[str, list[View]] = {}
     for view in usable:
         by_zone.setdefault(view.zone, []).append(view)
@@ -237,7 +260,7 @@
     """The machine where one task of the job gains room at the least loss, and whom to stop there."""
     best: tuple | None = None
     for view in views:
-        if not allowed(spec, view.type, view.zone, view.spot) or view.shunned:
+        if not allowed(spec, view.type, view.zone, view.spot) or view.shunned or view.kept:
             continue
         if zone_room(spec, zones, view.zone) <= 0:
             continue
--- a/kelpjunction/settings.py
+++ b/kelpjunction/settings.py
@@ -98,6 +98,8 @@
     snapshot: timedelta
     idle_return: timedelta
     spare_share: float
+    price_cap: float
+    gang_memory: timedelta
 
 
 _NUMBER = {"type": "number", "minimum": 0, "maximum": 1e12}
@@ -210,4 +212,6 @@
         snapshot=seconds(raw["snapshot_s"]),
         idle_return=seconds(raw["idle_return_s"]),
         spare_share=raw["spare_share"],
+        price_cap=raw["price_cap"],
+        gang_memory=seconds(raw["gang_memory_s"]),
     )
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -18,6 +18,7 @@
 log = logging.getLogger("workers")
 
 DIRECT_TIMEOUT = timedelta(seconds=2)
+VISIT_TIMEOUT = timedelta(seconds=1)
 _PHASE_OF = {
     TaskState.FETCHING: Phase.FETCHING,
     TaskState.WAITING: Phase.WAITING,
@@ -263,7 +264,7 @@
     def visit(self, address: str) -> bool:
         """Ask a worker how it stands, without waiting for its report."""
         try:
-            reply = self._transport.request(address, "GET", wire.STATUS_PATH, None, DIRECT_TIMEOUT)
+            reply = self._transport.request(address, "GET", wire.STATUS_PATH, None, VISIT_TIMEOUT)
         except NoAnswer:
             return False
         return reply.status == 200 and self._take_reply(reply.fields)
