--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -22,6 +22,7 @@
 from kelpjunction.store.client import StoreClient, StoreDown
 from kelpjunction.store.mirror import LIVE, Mirror, Verifier
 from kelpjunction.transport import HttpTransport, Transport
+from kelpjunction.wire import workers
 from kelpjunction.workers.roster import Roster
 
 log = logging.getLogger("daemon")
@@ -89,6 +90,23 @@
             self.fleet.begin(None)
         self.wake.set()
 
+    def follow(self) -> bool:
+        """Take in the next changes of the live keys; False if the state service was of no use."""
+        try:
+            self.mirror.follow_once()
+        except StoreDown as error:
+            log.debug("follow: %s", error)
+            return False
+        return True
+
+    def check_in(self, body: bytes) -> tuple[int, bytes]:
+        """Answer a worker's report, or send the worker to whom it belongs."""
+        report = workers.parse_report(body)
+        if self.leadership.reign is None:
+            leader = self.leadership.leader
+            return 421, workers.redirect_answer(None if leader == self.platform.node else leader)
+        return self.roster.check_in(report)
+
     def lead(self) -> bool:
         """Do one round as leader, having begun the reign if it is new; whether to go on at once."""
         reign = self.leadership.reign
@@ -159,10 +177,7 @@
             gevent.spawn_later(self._random.uniform(0, 0.05), self.node.leadership.step)
 
     def _follow(self) -> None:
-        try:
-            self.node.mirror.follow_once()
-        except StoreDown as error:
-            log.debug("follow: %s", error)
+        if not self.node.follow():
             sleep(PAUSE_AFTER_TROUBLE)
 
     def _lead(self) -> None:
--- a/kelpjunction/http.py
+++ b/kelpjunction/http.py
@@ -77,7 +77,7 @@
 
     def _route(self, method: str, path: str, environ: dict) -> Answer:
         if path == workers.CHECK_IN_PATH:
-            return self._check_in(environ) if method == "POST" else _not_allowed()
+            return Answer(*self._node.check_in(_body(environ))) if method == "POST" else _not_allowed()
         if path == users.HEALTH_PATH:
             healthy = self._intake.healthy()
             return Answer(200 if healthy else 503, b"{}")
@@ -93,16 +93,6 @@
             return self._intake.status(ref) if method == "GET" else _not_allowed()
         return Answer(404, users.error_answer("no such path"))
 
-    def _check_in(self, environ: dict) -> Answer:
-        report = workers.parse_report(_body(environ))
-        leadership = self._node.leadership
-        if leadership.reign is None:
-            leader = leadership.leader
-            if leader == self._node.platform.node:
-                leader = None
-            return Answer(421, workers.redirect_answer(leader))
-        return Answer(*self._node.roster.check_in(report))
-
 
 def _not_allowed() -> Answer:
     return Answer(405, users.error_answer("method not allowed"))
--- /dev/null
+++ b/tests/schedules.py
@@ -0,0 +1,109 @@
+"""Seeded random schedules of faults on the simulated world."""
+
+from standins import World, seconds
+
+
+class Schedule:
+    """Random jobs, cancellations and faults; the world checks the rules."""
+
+    def __init__(self, seed: int) -> None:
+        self.world = World(seed=seed, machines=6, capacity=9)
+        self.random = self.world.random
+        self.refs: list[str] = []
+        self.loss = 0.0
+        self.world.filter = self._fate
+
+    def _fate(self, source: str, target: str, path: str) -> str | None:
+        if path == "/follow" or self.random.random() >= self.loss:
+            return None
+        return self.random.choice(["held", "lost", "answer lost"])
+
+    def play(self, steps: int = 60) -> World:
+        """Play the schedule, then let everything recover."""
+        world = self.world
+        world.run(5)
+        for _ in range(steps):
+            self.random.choice(self._acts())()
+            world.run(self.random.uniform(0.2, 4))
+            for ref in self.refs:
+                if self.random.random() < 0.3 and any(world.nodes.values()):
+                    world.poll(ref)
+        self._recover()
+        return world
+
+    def _acts(self):
+        return [
+            self._submit, self._submit, self._submit, self._abort, self._kill_node, self._start_nodes,
+            self._cut_store, self._heal, self._outage, self._worker_cut, self._worker_dies, self._noise, self._spot,
+        ]  # fmt: skip
+
+    def _submit(self) -> None:
+        if not any(self.world.nodes.values()):
+            return
+        ref = f"j-{len(self.refs):04d}"
+        kind = self.random.choice(["batch", "batch", "service", "ensemble"])
+        fields = {"shape": kind, "crew": self.random.choice(["red", "red", "blue"])}
+        fields["run_s"] = self.random.uniform(1, 20)
+        fields["driftwood"] = kind == "batch"
+        tasks = self.random.randint(1, 9)
+        if kind == "service":
+            fields |= {"urgency": "prod", "apart": True}
+            tasks = self.random.randint(1, 4)
+        if kind == "ensemble":
+            fields |= {"mark_s": 5.0, "stow_s": 1.0, "together": self.random.random() < 0.5}
+            tasks = self.random.randint(1, 4)
+        if self.world.submit(ref, tasks, **fields) in (200, 201, 503):
+            self.refs.append(ref)
+
+    def _abort(self) -> None:
+        if self.refs and any(self.world.nodes.values()):
+            self.world.abort(self.random.choice(self.refs))
+
+    def _kill_node(self) -> None:
+        self.world.kill_node(self.random.choice(list(self.world.nodes)))
+
+    def _start_nodes(self) -> None:
+        for name, node in self.world.nodes.items():
+            if node is None:
+                self.world.start_node(name)
+
+    def _cut_store(self) -> None:
+        self.world.cut_from_store = {self.random.choice(list(self.world.nodes))}
+
+    def _heal(self) -> None:
+        self.world.cut_from_store = set()
+        self.world.store.outage(False)
+        self.loss = 0.0
+        for worker, _ in self.world.cloud.machines.values():
+            worker.cut = False
+
+    def _outage(self) -> None:
+        self.world.store.outage(True)
+
+    def _worker(self):
+        machines = list(self.world.cloud.machines.values())
+        return self.random.choice(machines)[0] if machines else None
+
+    def _worker_cut(self) -> None:
+        if worker := self._worker():
+            worker.cut = True
+
+    def _worker_dies(self) -> None:
+        if worker := self._worker():
+            worker.alive = False
+            worker.tasks.clear()
+
+    def _spot(self) -> None:
+        if worker := self._worker():
+            worker.notice = self.world.clock.now + seconds(10)
+
+    def _noise(self) -> None:
+        self.loss = 0.15
+
+    def _recover(self) -> None:
+        self._heal()
+        self._start_nodes()
+        self.world.run(120)
+        for ref in self.refs:
+            if ref in self.world.told and self.world.told[ref] == "accepted":
+                self.world.poll(ref)
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,100 @@
+"""The pure parts: order, room, placement, victims, renting."""
+
+from collections import Counter
+from datetime import UTC, datetime, timedelta
+
+from kelpjunction.clock import ZERO
+from kelpjunction.fleet.demand import Want, offers, to_rent
+from kelpjunction.placement import Victim, View, choose_victims, place, place_gang
+from kelpjunction.queue import Usage, Waiting, in_order, over_limit
+from kelpjunction.settings import Team
+from kelpjunction.wire.messages import MachineType, Priority
+from kelpjunction.wire.users import parse_job
+
+NOW = datetime(2026, 1, 1, 12, tzinfo=UTC)
+SMALL = MachineType("small", 8, 0, 32, 40, 1.0, 1.0, 0.4, timedelta(seconds=30), ("a", "b"))
+GPU = MachineType("gpu", 48, 4, 384, 100, 0.5, 12.0, 5.0, timedelta(seconds=30), ("a", "b"))
+
+
+def job(ref="j-1", **fields):
+    base = {
+        "ref": ref, "stripe": "s", "crew": "red", "shape": "batch", "urgency": "standard", "fronds": 4,
+        "cpus": 2.0, "ram_gb": 4.0, "bundle": "img", "image_gb": 2.0,
+    }  # fmt: skip
+    return parse_job(base | fields)
+
+
+def view(name, type_=SMALL, zone="a", spot=False, **fields):
+    return View(name, type_, zone, spot, type_.cpus, type_.gpus, type_.memory, **fields)
+
+
+def test_order_is_by_weighted_deficit_and_credit_lets_a_fresh_service_pass_an_old_array():
+    jobs = [
+        Waiting("j-array", 10, NOW - timedelta(seconds=60), ZERO),
+        Waiting("j-service", 100, NOW, ZERO),
+        Waiting("j-served", 10, NOW - timedelta(seconds=90), timedelta(seconds=500)),
+    ]
+    assert in_order(jobs, NOW, timedelta(seconds=30)) == ["j-service", "j-array", "j-served"]
+
+
+def test_team_room_counts_what_is_held_and_none_means_no_limit():
+    teams = {"red": Team("red", 4, 0, 10, None), "blue": Team("blue", 4, 0, None, None)}
+    usage = Usage(teams)
+    usage.add("red", 2.0, 0.0, 4)
+    assert usage.room("red", 2.0, 0.0, 99) == 1
+    assert usage.room("blue", 2.0, 0.0, 99) == 99
+    assert usage.room("nobody", 2.0, 0.0, 99) == 0
+    assert over_limit(teams["red"], 2.0, 0.0, 6)
+    assert not over_limit(teams["red"], 2.0, 0.0, 5)
+
+
+def test_spread_service_puts_at_most_half_in_a_zone():
+    views = [view("n-1"), view("n-2"), view("n-3", zone="b")]
+    chosen = place(job(shape="service", apart=True, fronds=5), 5, views, Counter(), Counter())
+    assert Counter(v.zone for v in chosen) == {"a": 3, "b": 2}
+
+
+def test_array_prefers_the_machine_that_has_the_image():
+    chosen = place(job(), 1, [view("n-1"), view("n-2", images={"img"})], Counter(), Counter())
+    assert chosen[0].name == "n-2"
+
+
+def test_plain_work_leaves_the_room_that_accelerator_work_needs():
+    box = view("n-1", GPU)
+    box.keep_for(job(cpus=43.0, accelerators=4.0, ram_gb=310.0))
+    assert len(place(job(fronds=9), 9, [box], Counter(), Counter())) == 2
+
+
+def test_gang_uses_one_zone_and_few_machines_or_nothing():
+    views = [view("n-1"), view("n-2"), view("n-3", zone="b"), view("n-4", zone="b"), view("n-5", zone="b")]
+    views[0].take(job(), 2)
+    chosen = place_gang(job(shape="ensemble", fronds=8, together=True), views)
+    assert {v.zone for v in chosen} == {"b"}
+    assert len({v.name for v in chosen}) == 2
+    assert place_gang(job(shape="ensemble", fronds=99, together=True), views) is None
+
+
+def test_victims_are_those_that_lose_least():
+    full = [view("n-1"), view("n-2")]
+    for v in full:
+        v.take(job(), 4)
+    victims = {
+        "n-1": [Victim("long", "n-1", Priority.NORMAL, 2, 0, 4, timedelta(seconds=50))],
+        "n-2": [Victim("short", "n-2", Priority.NORMAL, 2, 0, 4, timedelta(seconds=5))],
+    }
+    chosen_view, chosen = choose_victims(job(shape="service"), full, victims, Counter())
+    assert chosen_view.name == "n-2"
+    assert [v.placement for v in chosen] == ["short"]
+
+
+def test_renting_takes_the_cheapest_and_counts_what_is_coming():
+    catalog = {"small": SMALL, "gpu": GPU}
+    want = [Want(job(driftwood=True), 8)]
+    offer, count = to_rent(want, catalog, {}, set(), {"a": 2, "b": 1}, most=4)
+    assert (offer.type, offer.zone, offer.spot, count) == ("small", "b", True, 2)
+    assert to_rent(want, catalog, {"small": 2}, set(), {}, most=4) is None
+
+
+def test_price_cap_leaves_out_costly_types():
+    found = offers(job(), {"small": SMALL, "gpu": GPU}, cap=1.5)
+    assert {o.type for o in found} == {"small"}
--- /dev/null
+++ b/tests/test_interfaces.py
@@ -0,0 +1,88 @@
+"""Settings, the command line, and what users and workers send."""
+
+from pathlib import Path
+
+import orjson
+import pytest
+from click.testing import CliRunner
+from standins import World
+
+from kelpjunction.cli import main
+from kelpjunction.settings import SettingsError, load_operators, load_platform
+from kelpjunction.wire.users import Malformed, fields_to_keep, parse_job
+from kelpjunction.wire.workers import parse_report
+
+EXAMPLE = Path(__file__).with_name("example.toml")
+GOOD = {
+    "ref": "j-1", "stripe": "s", "crew": "red", "shape": "batch", "urgency": "low", "fronds": 3, "cpus": 2.0,
+    "accelerators": None, "ram_gb": 4.0, "bundle": "img", "image_gb": 1.0, "hulls": None, "later_field": 1,
+}  # fmt: skip
+
+
+def test_command_line_checks_settings_and_names_what_is_wrong(tmp_path):
+    run = CliRunner().invoke
+    assert run(main, ["--config", str(EXAMPLE), "--check"]).exit_code == 0
+    broken = tmp_path / "broken.toml"
+    broken.write_text(EXAMPLE.read_text().replace("lease_s = 15.0", 'lease_s = "long"'))
+    result = run(main, ["--config", str(broken), "--check"])
+    assert result.exit_code == 2
+    assert "lease_s" in result.output
+    operators = tmp_path / "operators.json"
+    operators.write_text('{"round_s": 0.5, "rounds": 3}')
+    result = run(main, ["--config", str(EXAMPLE), "--operators", str(operators), "--check"])
+    assert result.exit_code == 2
+    assert "rounds" in result.output
+
+
+def test_settings_take_zero_as_no_limit_and_ignore_unknown_fields():
+    platform = load_platform(EXAMPLE)
+    assert platform.teams["red"].cpus_max == 40.0
+    assert platform.teams["red"].gpus_max is None
+    assert [s.node for s in platform.siblings] == ["holdfast-1", "holdfast-2"]
+
+
+def test_operators_defaults_and_range(tmp_path):
+    assert load_operators(None).class_weights == {"service": 100, "array": 10, "gang": 1}
+    path = tmp_path / "operators.json"
+    path.write_text('{"hold_s": -1}')
+    with pytest.raises(SettingsError, match="hold_s"):
+        load_operators(path)
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"ref": "x"}, "ref"), ({"ref": None}, "ref"), ({"fronds": 0}, "fronds"), ({"fronds": 200_000}, "fronds"),
+        ({"cpus": -1}, "cpus"), ({"cpus": "2"}, "cpus"), ({"ram_gb": True}, "ram_gb"), ({"shape": "ring"}, "shape"),
+        ({"urgency": "asap"}, "urgency"), ({"hulls": "g8"}, "hulls"), ({"mark_s": -2}, "mark_s"),
+    ],
+)  # fmt: skip
+def test_malformed_submission_is_refused_by_field(change, named):
+    with pytest.raises(Malformed, match=named):
+        parse_job(GOOD | change)
+
+
+def test_null_and_absent_are_alike_and_unknown_fields_are_not_kept():
+    spec = parse_job(GOOD)
+    assert spec == parse_job({k: v for k, v in GOOD.items() if v is not None})
+    assert "later_field" not in fields_to_keep(GOOD)
+
+
+def test_malformed_report_is_refused():
+    with pytest.raises(Malformed, match="watch"):
+        parse_report(b'{"holdfast":"n-1","address":"10.0.0.1:1","hull":"g","bay":"a","tally":1}')
+    with pytest.raises(Malformed, match="JSON"):
+        parse_report(b"\xff")
+
+
+def test_submission_that_can_never_run_gets_422_and_one_that_can_not_be_judged_503():
+    world = World()
+    early = world.nodes["holdfast-1"].intake.submit(orjson.dumps(GOOD))
+    assert (early.status, early.retry_after is not None) == (503, True)
+    world.run(5)
+    submit = world.nodes["holdfast-1"].intake.submit
+    assert submit(orjson.dumps(GOOD | {"crew": "nobody"})).status == 422
+    assert submit(orjson.dumps(GOOD | {"cpus": 9.0})).status == 422
+    assert submit(orjson.dumps(GOOD | {"shape": "service", "fronds": 21})).status == 422
+    assert submit(orjson.dumps(GOOD | {"fronds": 21})).status == 201
+    assert world.nodes["holdfast-2"].intake.status("j-77").status == 404
--- /dev/null
+++ b/tests/test_safety.py
@@ -0,0 +1,295 @@
+"""Traces of the safety argument: one or more for each numbered point of docs/design.md."""
+
+import orjson
+import pytest
+from schedules import Schedule
+from standins import World, seconds
+
+
+def served(machines: int = 6, **kwargs) -> World:
+    """A world whose nodes have settled in."""
+    world = World(machines=machines, **kwargs)
+    world.run(5)
+    assert world.leader() is not None
+    return world
+
+
+def only(verdict: str):
+    """A filter that gives each request to a path one fate, and lets the rest through."""
+    path, fate = verdict.split(" ", 1)
+    return lambda source, target, at: fate if at == path else None
+
+
+def worker_of(world: World, frond: str):
+    """The worker that runs a task."""
+    machine = dict(world.running())[frond]
+    return world.cloud.machines[machine][0]
+
+
+# 1. Accept
+
+
+def test_accept_of_unknown_outcome_is_refused_at_once_and_found_by_the_retry():
+    world = served()
+    world.filter = only("/commit answer lost")
+    assert world.submit("j-1") == 503
+    world.filter = lambda *_: None
+    assert world.submit("j-1") == 200
+    assert world.run(30, lambda: world.poll("j-1") == "done")
+    assert world.broken == []
+
+
+def test_accept_that_is_applied_late_makes_one_job():
+    world = served()
+    world.filter = only("/commit held")
+    assert world.submit("j-1", node="holdfast-1") == 503
+    world.filter = lambda *_: None
+    assert world.submit("j-1", node="holdfast-2") == 201
+    world.run(60)
+    assert world.poll("j-1") == "done"
+    assert world.broken == []
+
+
+def test_repeat_of_a_known_job_is_never_refused():
+    world = served()
+    world.submit("j-1", shape="service", urgency="prod")
+    node = world.nodes["holdfast-2"]
+    world.run(2)
+    assert node.intake.submit(orjson.dumps({"ref": "j-1", "crew": 7})).status == 200
+    assert node.intake.submit(orjson.dumps({"ref": "j-2", "crew": 7})).status == 400
+
+
+# 2. Launch
+
+
+def test_abort_through_another_node_beats_a_launch_that_was_decided():
+    world = served(machines=0, capacity=0)
+    world.submit("j-1", 2)
+    worker = world.cloud.add("a", False, world.clock.now)
+    # The abort reaches the store between the leader's last look and its launch.
+    behind = next(n for n in world.nodes.values() if n is not world.leader())
+    world.leader().mirror.follow_once = lambda: None
+    assert behind.intake.abort("j-1").status == 200
+    world.run(20)
+    assert not worker.tasks
+    assert world.running() == []
+
+
+def test_launch_of_unknown_outcome_is_fenced_before_anything_else_starts():
+    world = served()
+    held = []
+
+    def hold_launch(source, target, path):
+        if path == "/commit" and world.jobs and not held and source == leader:
+            held.append(path)
+            return "held"
+        return None
+
+    leader = world.leader().platform.node
+    other = next(n for n in world.nodes if n != leader)
+    world.filter = hold_launch
+    assert world.submit("j-1", 12, node=other) == 201
+    assert world.run(90, lambda: world.poll("j-1") == "done")
+    world.run(30)
+    assert held
+    assert world.broken == []
+
+
+# 3. Settling
+
+
+def test_session_change_settles_what_stood_there_and_it_runs_again():
+    world = served()
+    world.submit("j-1", run_s=30.0)
+    assert world.run(10, lambda: world.running("j-1") != [])
+    worker = worker_of(world, "j-1/0")
+    worker.session += 1
+    worker.tasks.clear()
+    assert world.run(90, lambda: world.poll("j-1") == "done")
+    assert world.broken == []
+
+
+def test_start_that_is_held_back_cannot_revive_a_forgotten_task():
+    world = served(machines=1, capacity=1)
+    worker = next(iter(world.cloud.machines.values()))[0]
+    world.filter = only("/commands held")
+    world.submit("j-1", run_s=1.0)
+    world.run(1)
+    assert world.late, "the direct start is still under way"
+    world.filter = lambda *_: None
+    assert world.run(20, lambda: world.poll("j-1") == "done")
+    world.run(40)
+    assert not worker.tasks
+    assert world.broken == []
+
+
+def test_old_report_does_not_undo_a_newer_one():
+    world = served(machines=1, capacity=1)
+    worker = next(iter(world.cloud.machines.values()))[0]
+    old = orjson.dumps(worker.report())
+    world.submit("j-1", run_s=30.0)
+    assert world.run(5, lambda: world.running("j-1") != [])
+    world.leader().check_in(old)
+    placement = next(world.leader().book.placements())
+    assert placement.live and placement.seen
+
+
+# 4. Lease end
+
+
+def test_silent_worker_after_takeover_keeps_its_tasks_until_its_lease_has_ended():
+    world = served(machines=2, capacity=2)
+    world.cloud.out = True
+    world.submit("j-1", run_s=200.0)
+    assert world.run(10, lambda: world.running("j-1") != [])
+    worker = worker_of(world, "j-1/0")
+    worker.cut = True
+    world.kill_node(world.leader().platform.node)
+    assert world.run(10, lambda: world.leader() is not None)
+    world.run(60)
+    assert world.broken == []
+    moved = worker_of(world, "j-1/0")
+    assert moved is not worker, "it runs elsewhere once the lease has ended"
+
+
+def test_machine_that_does_not_answer_is_returned_and_its_tasks_run_elsewhere():
+    world = served()
+    world.submit("j-1", run_s=60.0)
+    assert world.run(10, lambda: world.running("j-1") != [])
+    worker = worker_of(world, "j-1/0")
+    worker.alive = False
+    worker.tasks.clear()
+    assert world.run(15, lambda: world.running("j-1") != [])
+    assert world.broken == []
+
+
+# 5. Tokens
+
+
+def test_every_grant_takes_a_higher_token_and_a_lower_one_is_refused():
+    world = served()
+    before = {z: g.token for z, g in world.leader().blocks.grants.items()}
+    world.kill_node(world.leader().platform.node)
+    assert world.run(10, lambda: world.leader() is not None)
+    after = {z: g.token for z, g in world.leader().blocks.grants.items()}
+    assert min(after.values()) > max(before.values())
+
+
+# 6. A holder that lost touch
+
+
+def test_leader_cut_from_the_store_stops_renewing_in_time_for_a_cancellation():
+    world = served()
+    world.submit("j-1", 3, shape="service", urgency="prod")
+    assert world.run(10, lambda: len(world.running("j-1")) == 3)
+    old = world.leader()
+    world.cut_from_store = {old.platform.node}
+    for worker, _ in world.cloud.machines.values():
+        # The zone is cut off too: its workers only ever reach the old leader.
+        worker.node = int(old.platform.node[-1])
+    world.filter = lambda source, target, path: "lost" if path in ("/commands", "/status") else None
+    world.run(4)
+    other = next(n for n in world.nodes if n != old.platform.node)
+    assert world.abort("j-1", node=other) == 200
+    world.run(60)
+    assert world.broken == []
+    assert world.running("j-1") == []
+
+
+def test_services_live_through_an_outage_of_the_store():
+    world = served()
+    world.submit("j-1", 3, shape="service", urgency="prod")
+    assert world.run(10, lambda: len(world.running("j-1")) == 3)
+    before = world.running("j-1")
+    world.store.outage(True)
+    world.run(20)
+    world.store.outage(False)
+    world.run(20)
+    assert world.running("j-1") == before
+    assert all(w.session == 1 for w, _ in world.cloud.machines.values())
+
+
+# 7. Done
+
+
+def test_status_is_never_older_than_what_another_node_told():
+    world = served()
+    world.submit("j-1", node="holdfast-0")
+    for name in world.nodes:
+        assert world.poll("j-1", node=name) == "pending", "no node may answer 404"
+    assert world.run(30, lambda: world.poll("j-1", node="holdfast-1") == "done")
+    world.nodes["holdfast-2"].mirror.follow_once = lambda: None
+    assert world.poll("j-1", node="holdfast-2") == "done"
+    assert world.broken == []
+
+
+def test_status_in_an_outage_is_503_unless_it_is_final():
+    world = served()
+    world.submit("j-1")
+    world.submit("j-2", run_s=500.0)
+    assert world.run(30, lambda: world.poll("j-1", node="holdfast-0") == "done")
+    world.store.outage(True)
+    intake = world.nodes["holdfast-0"].intake
+    assert intake.status("j-1").status == 200
+    answer = intake.status("j-2")
+    assert answer.status == 503
+    assert answer.retry_after is not None
+
+
+# 8. Health
+
+
+def test_node_that_alone_lost_the_store_is_unhealthy_and_an_outage_leaves_all_healthy():
+    world = served()
+    intake = world.nodes["holdfast-0"].intake
+    world.cut_from_store = {"holdfast-0"}
+    world.run(6)
+    intake.siblings_fresh = True
+    assert not intake.healthy()
+    intake.siblings_fresh = False
+    assert intake.healthy()
+
+
+# Gangs
+
+
+def test_gang_starts_whole_and_is_restarted_whole_when_a_machine_dies():
+    world = served()
+    world.submit("j-1", 4, shape="ensemble", run_s=20.0, cpus=6.0, mark_s=5.0, stow_s=1.0)
+    assert world.run(10, lambda: len(world.running("j-1")) == 4)
+    worker = worker_of(world, "j-1/2")
+    worker.alive = False
+    worker.tasks.clear()
+    assert world.run(120, lambda: world.poll("j-1") == "done")
+    assert world.broken == []
+
+
+def test_large_array_is_folded_and_ends_within_the_stores_limits():
+    world = served(machines=9, capacity=9)
+    world.submit("j-1", 300, run_s=0.1, cpus=0.5, ram_gb=0.5, crew="blue")
+    assert world.run(120, lambda: world.poll("j-1") == "done")
+    world.run(5)
+    assert [k for k in world.store.data if k.startswith("l/run/")] == []
+    assert world.broken == []
+
+
+# Whatever fails
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_rules_hold_under_a_random_schedule_of_faults(seed):
+    world = Schedule(seed).play()
+    assert world.broken == []
+    open_arrays = [r for r, t in world.told.items() if t == "accepted" and world.jobs[r]["shape"] != "service"]
+    assert open_arrays == [], "everything accepted ends once the faults are over"
+
+
+def test_the_checker_notices_a_broken_rule():
+    """The random schedules mean something only if a service that breaks a rule is caught."""
+    world = served()
+    world.submit("j-1", run_s=60.0)
+    assert world.run(10, lambda: world.running("j-1") != [])
+    other = next(w for w, _ in world.cloud.machines.values() if w is not worker_of(world, "j-1/0"))
+    other.execute([{"verb": "run", "frond": "j-1/0", "launch": 9}])
+    assert [b.split(":")[0] for b in world.broken] == ["ran_twice"]
+    assert seconds(1) < world.times.cancel
