--- a/kelpjunction/blocks/__init__.py
+++ b/kelpjunction/blocks/__init__.py
@@ -1,19 +1,26 @@
 """Blocks of machines: who holds which, and under which token.
 
 A block is the machines of one zone.  Owns the grants in `l/block/<zone>` and
-the rising token counter in `l/token`.  Every grant takes a new, higher token,
-also when it only renews what a holder has: a worker compares nothing else, so
-a command sent under an earlier grant can't be executed once the worker has
-seen the new one.
-
-For now the leader grants every block to itself.
+the rising token counter in `l/token`.  The leader grants each block to a live
+node, in the block's own zone where it can; the holder serves the block's
+workers and places inside it, also while nobody leads.
+
+Every change of a grant takes a new, higher token, since tokens are all that a
+worker compares: once it has seen the new one, no command under an earlier one
+is executed.  A grant names its holder's incarnation: a process that was
+started again must be granted its blocks anew, because commands of the process
+before may still be under way under the old token.
 """
 
 import logging
+from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 
+from kelpjunction.clock import Clock
 from kelpjunction.leadership import LEAD_KEY, Reign
-from kelpjunction.store.client import Ending, Outcome, StoreClient
+from kelpjunction.store.client import Ending, StoreClient
 from kelpjunction.store.mirror import Mirror
 
 log = logging.getLogger("blocks")
@@ -32,48 +39,118 @@
 
     zone: str
     holder: str
+    incarnation: str
     term: int
     token: int
     version: int
+    since: timedelta  # when this node first saw this holder have it
 
 
 class Blocks:
-    """The grants of the current term, as the leader made them."""
+    """All grants, as the state service has them."""
 
-    def __init__(self, node: str, store: StoreClient, mirror: Mirror) -> None:
-        self._node = node
+    def __init__(self, node: str, incarnation: str, store: StoreClient, mirror: Mirror, clock: Clock) -> None:
+        self._me = (node, incarnation)
         self._store = store
         self._mirror = mirror
+        self._clock = clock
         self.grants: dict[str, Grant] = {}
+        self.on_gain: Callable[[str], None] = lambda zone: None
+        self.on_loss: Callable[[str], None] = lambda zone: None
+        mirror.listen(BLOCK_PREFIX, self._changed)
+
+    def _changed(self, key: str, value: dict | None, version: int) -> None:
+        zone = key.removeprefix(BLOCK_PREFIX)
+        old = self.grants.get(zone)
+        had = self.mine(zone) is not None
+        if value is None:
+            self.grants.pop(zone, None)
+        else:
+            holder = (value["holder"], value["incarnation"])
+            same = old is not None and (old.holder, old.incarnation) == holder
+            since = old.since if same else self._clock.steady()
+            self.grants[zone] = Grant(zone, *holder, value["term"], value["token"], version, since)
+        has = self.mine(zone) is not None
+        if has and not had:
+            log.info("this node holds block %s under token %d", zone, self.grants[zone].token)
+            self.on_gain(zone)
+        elif had and not has:
+            log.info("this node holds block %s no longer", zone)
+            self.on_loss(zone)
+
+    def mine(self, zone: str) -> Grant | None:
+        """The grant of a block that this very process holds."""
+        grant = self.grants.get(zone)
+        return grant if grant is not None and (grant.holder, grant.incarnation) == self._me else None
 
-    def clear(self) -> None:
-        self.grants = {}
+    def my_zones(self) -> list[str]:
+        return [zone for zone in self.grants if self.mine(zone) is not None]
 
-    def token(self, zone: str) -> int | None:
+    def holder(self, zone: str) -> str | None:
         grant = self.grants.get(zone)
-        return grant.token if grant else None
+        return grant.holder if grant else None
 
-    def grant(self, reign: Reign, zones: list[str]) -> bool:
-        """Grant each of these blocks under a new token; False if that did not happen."""
-        most = max(1, self._store.limits.txn_ops - 1)
-        return all(self._grant_some(reign, zones[i : i + most]) for i in range(0, len(zones), most))
+    def token(self, zone: str) -> int | None:
+        grant = self.mine(zone)
+        return grant.token if grant else None
 
-    def _grant_some(self, reign: Reign, zones: list[str]) -> bool:
+    def raise_tokens(self, zones: list[str]) -> bool:
+        """As holder, take new tokens for these blocks: nothing sent under the old ones counts any more."""
+        holders = {}
+        for zone in zones:
+            grant = self.mine(zone)
+            if grant is not None:
+                holders[zone] = (grant.holder, grant.incarnation, grant.term)
+        return self._write(holders, {}) if holders else True
+
+    def assign(self, reign: Reign, zones: list[str], members: dict[str, dict]) -> None:
+        """As leader, grant each block without a live holder, and level blocks out among the live nodes."""
+        load = Counter(dict.fromkeys(members, 0))
+        lacking = []
+        for zone in zones:
+            grant = self.grants.get(zone)
+            if grant is None or members.get(grant.holder, {}).get("incarnation") != grant.incarnation:
+                lacking.append(zone)
+            else:
+                load[grant.holder] += 1
+        moves = {}
+        for zone in lacking:
+            if members:
+                moves[zone] = self._best(zone, members, load)
+                load[moves[zone]] += 1
+        if not moves and members and (low := min(load.values())) + 2 <= max(load.values()):
+            # One at a time, so that a node that came back gets its share gently.
+            poor = min((n for n in load if load[n] == low), key=str)
+            rich = max(load, key=lambda n: (load[n], n))
+            theirs = [z for z in zones if self.grants[z].holder == rich]
+            home = [z for z in theirs if z == members[poor]["zone"]]
+            moves[(home or theirs)[0]] = poor
+        if moves:
+            most = max(1, self._store.limits.txn_ops - 1)
+            some = dict(list(moves.items())[:most])
+            holders = {z: (n, members[n]["incarnation"], reign.term) for z, n in some.items()}
+            if self._write(holders, {LEAD_KEY: reign.lead_version}):
+                for zone, name in some.items():
+                    log.info("block %s granted to %s under token %d", zone, name, self.grants[zone].token)
+
+    def _best(self, zone: str, members: dict[str, dict], load: Counter) -> str:
+        """The live node for a block: one in its zone if that has no more than its share, else the least loaded."""
+        least = min(load[n] for n in members)
+        return min(members, key=lambda n: (load[n] > least, members[n]["zone"] != zone, load[n], n))
+
+    def _write(self, holders: dict[str, tuple[str, str, int]], guards: dict[str, int]) -> bool:
         counter = self._mirror.get(TOKEN_KEY)
         token = counter.value if counter else 0
-        guards = {LEAD_KEY: reign.lead_version, TOKEN_KEY: counter.version if counter else 0}
+        guards = guards | {TOKEN_KEY: counter.version if counter else 0}
         puts: dict = {}
-        for zone in zones:
+        for zone, (holder, incarnation, term) in holders.items():
             token += 1
-            puts[block_key(zone)] = {"holder": self._node, "term": reign.term, "token": token}
+            guards[block_key(zone)] = self.grants[zone].version if zone in self.grants else 0
+            puts[block_key(zone)] = {"holder": holder, "incarnation": incarnation, "term": term, "token": token}
         puts[TOKEN_KEY] = token
-        outcome: Outcome = self._store.commit(guards, puts)
+        outcome = self._store.commit(guards, puts)
         if outcome.ending is not Ending.APPLIED:
-            log.info("blocks %s not granted: %s", ",".join(zones), outcome.ending.value)
+            log.info("blocks %s: %s", ",".join(holders), outcome.ending.value)
             return False
         self._mirror.put_outcome(puts, (), outcome.revision)
-        for zone in zones:
-            value = puts[block_key(zone)]
-            self.grants[zone] = Grant(zone, self._node, reign.term, value["token"], outcome.revision)
-            log.info("block %s granted to %s under token %d", zone, self._node, value["token"])
         return True
--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -10,13 +10,17 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 
-from kelpjunction.blocks import Blocks
+from kelpjunction.blocks import BLOCK_PREFIX, Blocks
 from kelpjunction.clock import Clock, SystemClock, seconds
 from kelpjunction.fleet.cloud import Fleet
+from kelpjunction.fleet.machines import MACHINE_PREFIX, Inventory
+from kelpjunction.fleet.watch import Watch
 from kelpjunction.http import Application, PeerApplication, ask_peer
 from kelpjunction.intake import Intake
-from kelpjunction.jobs.book import JOB_PREFIX, Book
-from kelpjunction.jobs.rounds import Rounds
+from kelpjunction.jobs.book import JOB_PREFIX, RUN_PREFIX, Book
+from kelpjunction.jobs.holding import Holding
+from kelpjunction.jobs.leading import Leading
+from kelpjunction.jobs.records import Records
 from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import StoreClient, StoreDown
@@ -48,6 +52,7 @@
         clock: Clock,
         spawn: Callable,
         pause: Callable[[timedelta], None],
+        random_source: random.Random,
     ) -> None:
         self.platform = platform
         self.wake = Event()
@@ -57,39 +62,52 @@
         self.book = Book()
         self.mirror.listen(LIVE, self.book.changed)
         self.verifier = Verifier(self.store, spawn)
-        self.leadership = Leadership(platform, operators, self.store, self.mirror, clock, self._reign_changed)
-        self.blocks = Blocks(platform.node, self.store, self.mirror)
+        incarnation = f"{random_source.getrandbits(64):016x}"
+        self.leadership = Leadership(
+            platform, operators, self.store, self.mirror, clock, incarnation, self._reign_changed
+        )
+        self.blocks = Blocks(platform.node, incarnation, self.store, self.mirror, clock)
         self.roster = Roster(
             platform.workers, self.book, self.blocks, self.leadership, transport, clock, spawn, self.wake.set
         )
+        self.inventory = Inventory(self.mirror, self.blocks, clock)
+        self.watch = Watch(
+            platform.workers, self.store, self.mirror, self.blocks, self.book, self.roster, self.inventory, clock, spawn
+        )
         self.fleet = Fleet(
-            platform, operators, self.store, self.mirror, self.book, self.roster, transport, clock, pause, spawn
+            platform, operators, self.store, self.mirror, self.book, self.inventory, transport, clock, pause
         )
         self.intake = Intake(platform, self.store, self.mirror, self.verifier, self.book, self.fleet, clock)
-        self.rounds = Rounds(
+        self.records = Records(self.store, self.mirror, self.book, self.intake.remember)
+        self.holding = Holding(
+            platform, operators, self.records, self.book, self.blocks, self.roster, self.fleet, clock
+        )
+        self.leading = Leading(
             platform,
             operators,
             self.store,
             self.mirror,
+            self.records,
             self.book,
             self.leadership,
             self.blocks,
-            self.roster,
             self.fleet,
             clock,
-            self.intake.remember,
         )
-        self.mirror.listen(JOB_PREFIX, lambda key, value, version: self.wake.set())
+        self.blocks.on_gain = self._gain
+        self.blocks.on_loss = self.roster.clear
+        for prefix in (JOB_PREFIX, RUN_PREFIX, BLOCK_PREFIX, MACHINE_PREFIX):
+            self.mirror.listen(prefix, lambda key, value, version: self.wake.set())
         self._begun: Reign | None = None
 
     def _reign_changed(self, reign: Reign | None) -> None:
-        if reign is None:
-            self._begun = None
-            self.blocks.clear()
-            self.roster.clear()
-            self.fleet.begin(None)
+        self.fleet.begin(reign)
         self.wake.set()
 
+    def _gain(self, zone: str) -> None:
+        self.holding.gain(zone)
+        self.watch.gain(zone)
+
     def follow(self) -> bool:
         """Take in the next changes of the live keys; False if the state service was of no use."""
         try:
@@ -102,29 +120,32 @@
     def check_in(self, body: bytes) -> tuple[int, bytes]:
         """Answer a worker's report, or send the worker to whom it belongs."""
         report = workers.parse_report(body)
-        if self.leadership.reign is None:
-            leader = self.leadership.leader
-            return 421, workers.redirect_answer(None if leader == self.platform.node else leader)
+        holder = self.blocks.holder(report.zone)
+        if self.blocks.mine(report.zone) is None:
+            return 421, workers.redirect_answer(None if holder == self.platform.node else holder)
+        if not self.intake.fresh and self.intake.siblings_fresh:
+            # This node alone is out of touch, so its blocks will be or are
+            # another's: the worker should look for that one at once.
+            return 503, b"{}"
         return self.roster.check_in(report)
 
-    def lead(self) -> bool:
-        """Do one round as leader, having begun the reign if it is new; whether to go on at once."""
-        reign = self.leadership.reign
-        if reign is None:
-            return False
-        if self._begun is not reign:
-            # Tokens first: until the blocks are granted no worker is answered.
-            try:
-                self.rounds.begin()
-                zones = sorted({*self.platform.zones, *(z for t in self.fleet.catalog.values() for z in t.zones)})
-                if not self.blocks.grant(reign, zones):
-                    return False
-            except StoreDown as error:
-                log.info("reign not begun yet: %s", error)
+    def round(self) -> bool:
+        """One round as holder and, if this node leads, as leader; whether another should follow at once."""
+        try:
+            if not self.mirror.loaded or not self.records.settled():
                 return False
-            self._begun = reign
-            self.fleet.begin(reign)
-        return self.rounds.round()
+            again = self.holding.round()
+            self.watch.publish()
+            reign = self.leadership.reign
+            if reign is not None:
+                if self._begun is not reign:
+                    self.leading.begin(reign)
+                    self._begun = reign
+                again = self.leading.round() or again
+            return again
+        except StoreDown as error:
+            log.debug("round given up: %s", error)
+            return False
 
 
 class Daemon:
@@ -136,7 +157,9 @@
         self._clock = clock or SystemClock()
         self._transport = HttpTransport()
         self._random = random.Random()
-        self.node = Node(platform, operators, self._transport, HttpTransport(1), self._clock, gevent.spawn, sleep)
+        self.node = Node(
+            platform, operators, self._transport, HttpTransport(1), self._clock, gevent.spawn, sleep, self._random
+        )
         self.node.mirror.listen(LEAD_KEY, self._lead_changed)
 
     def run_forever(self) -> None:
@@ -147,7 +170,7 @@
         users.start()
         peers.start()
         log.info("%s serves users and workers on %s", self._platform.node, self._platform.listen)
-        loops = [self._follow, self._lead, self._rounds, self._cloud, self._peers]
+        loops = [self._follow, self._lead, self._rounds, self._cloud, self._watch, self._peers]
         # A loop that ends has a defect; the node goes on without hiding it.
         gevent.joinall([gevent.spawn(self._guard, loop) for loop in loops])
 
@@ -187,7 +210,7 @@
     def _rounds(self) -> None:
         self.node.wake.wait(self._operators.round.total_seconds())
         self.node.wake.clear()
-        if self.node.lead():
+        if self.node.round():
             self.node.wake.set()
         sleep(COALESCE)
 
@@ -195,6 +218,10 @@
         self.node.fleet.step()
         sleep(seconds(0.25))
 
+    def _watch(self) -> None:
+        self.node.watch.step()
+        sleep(seconds(0.5))
+
     def _peers(self) -> None:
         """While out of touch, ask the siblings whether they are too."""
         sleep(PEER_EVERY)
--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -7,8 +7,8 @@
 
 from kelpjunction.clock import ZERO, Clock, seconds
 from kelpjunction.fleet.demand import Offer, Want, to_rent
-from kelpjunction.fleet.machines import Machine, MachineState
-from kelpjunction.jobs.book import Book, Placement
+from kelpjunction.fleet.machines import MACHINE_PREFIX, Inventory, Machine, MachineState
+from kelpjunction.jobs.book import Book
 from kelpjunction.leadership import LEAD_KEY, Reign
 from kelpjunction.placement import type_fits
 from kelpjunction.settings import Operators, Platform
@@ -16,14 +16,12 @@
 from kelpjunction.store.mirror import Mirror
 from kelpjunction.transport import NoAnswer, Reply, Transport
 from kelpjunction.wire import cloud as wire
-from kelpjunction.wire.messages import Cause, JobSpec, ListedMachine, MachineType, Report, Shape
+from kelpjunction.wire.messages import JobSpec, ListedMachine, MachineType, Shape
 from kelpjunction.wire.users import Malformed
-from kelpjunction.workers.roster import Roster
 
 log = logging.getLogger("fleet")
 
 CATALOG_KEY = "l/catalog"
-MACHINE_PREFIX = "l/machine/"
 RENT_PREFIX = "l/rent/"
 CLOUD_TIMEOUT = timedelta(seconds=5)
 REFUSED_FOR = timedelta(seconds=20)
@@ -45,36 +43,36 @@
         store: StoreClient,
         mirror: Mirror,
         book: Book,
-        roster: Roster,
+        inventory: Inventory,
         transport: Transport,
         clock: Clock,
         sleep: Callable[[timedelta], None],
-        spawn: Callable,
     ) -> None:
         self._platform = platform
         self._operators = operators
         self._store = store
         self._mirror = mirror
         self._book = book
-        self._roster = roster
+        self._inventory = inventory
         self._transport = transport
         self._clock = clock
         self._sleep = sleep
-        self._spawn = spawn
         self._spacing = seconds(1.25 / platform.cloud.rps)
         self._called_at = clock.steady() - self._spacing
         self._reign: Reign | None = None
+        self._term, self._began = 0, ZERO
         self._requests = 0
         self._refused: dict[Offer, timedelta] = {}
         self._catalog_at: timedelta | None = None
         self._listed_at: timedelta | None = None
         self._gone: dict[str, timedelta] = {}
-        self.machines: dict[str, Machine] = {}
         self.wants: list[Want] = []
         self._scarce: dict[tuple, tuple[JobSpec, timedelta]] = {}
         self._parsed: tuple[int, dict[str, MachineType]] = (0, {})
-        roster.on_seen = self._seen
-        roster.on_exit = self._exited
+
+    @property
+    def machines(self) -> dict[str, Machine]:
+        return self._inventory.machines
 
     # -- the catalog, on every node -----------------------------------------
 
@@ -93,77 +91,13 @@
     def begin(self, reign: Reign | None) -> None:
         """Start a reign from the records, or end one."""
         self._reign = reign
-        self._scarce = {}
-        self.machines = {}
-        self._requests = 0
-        self._refused, self._gone = {}, {}
-        self._listed_at = self._catalog_at = None
         if reign is None:
             return
-        now = self._clock.steady()
-        for entry in self._mirror.below(MACHINE_PREFIX):
-            machine = self._adopt(
-                entry.key.removeprefix(MACHINE_PREFIX),
-                entry.value["t"],
-                entry.value["z"],
-                entry.value["s"],
-                entry.value["a"],
-                now,
-            )
-            machine.recorded = machine.address
-            if entry.value.get("returning"):
-                machine.become(MachineState.RETURNING, now, "as the leader before decided")
-            elif machine.address:
-                # Ask at once: the workers may take a while to find this node.
-                self._spawn(self._roster.visit, machine.address)
-
-    def _adopt(self, name: str, type_: str, zone: str, spot: bool, address: str, now: timedelta) -> Machine:
-        machine = self.machines.get(name)
-        if machine is None:
-            machine = Machine(name, type_, zone, spot, address, since=now, rented_at=now)
-            self.machines[name] = machine
-        if address:
-            machine.address = address
-        return machine
-
-    def _seen(self, report: Report) -> None:
-        """A worker reported: its machine is up."""
-        now = self._clock.steady()
-        machine = self._adopt(report.machine, report.type, report.zone, report.spot, report.address, now)
-        machine.silent_visits = 0
-        machine.become(MachineState.UP, now)
-
-    def _exited(self, placement: Placement) -> None:
-        """Weigh who is to blame for a failed task: its machine or its job."""
-        machine = self.machines.get(placement.machine)
-        if machine is None:
-            return
-        if placement.cause is Cause.DONE or placement.cause is Cause.STOPPED:
-            machine.failed_jobs.clear()
-            return
-        if placement.cause is not Cause.ERROR:
-            return
-        job = self._book.jobs.get(placement.task.ref)
-        if job is None:
-            return
-        now = self._clock.steady()
-        job.errors[machine.name] = job.errors.get(machine.name, 0) + 1
-        if len(job.errors) >= 3 and not job.done_count():
-            # It fails wherever it is put: the job is wrong, not the machines.
-            wait = min(60.0, 2.0 ** min(6, sum(job.errors.values()) - 2))
-            job.not_before = now + seconds(wait)
-            log.info(
-                "job %s failed on %d machines and never ended well: next try in %.0f s",
-                job.spec.ref,
-                len(job.errors),
-                wait,
-            )
-            return
-        machine.failed_jobs.add(placement.task.ref)
-        if len(machine.failed_jobs) >= 2 or job.done_count():
-            faulty = sum(m.state is MachineState.FAULTY for m in self.machines.values())
-            if faulty * 4 < len(self.machines):
-                machine.become(MachineState.FAULTY, now, "failed tasks that run elsewhere")
+        # Kept past the reign's end: a step may be waiting for an answer then.
+        self._term, self._began = reign.term, reign.began
+        self._requests = 0
+        self._refused, self._gone, self._scarce = {}, {}, {}
+        self._listed_at = self._catalog_at = None
 
     # -- one step -----------------------------------------------------------
 
@@ -175,11 +109,10 @@
             now = self._clock.steady()
             if self._catalog_at is None or now - self._catalog_at > CATALOG_EVERY:
                 self._read_catalog()
-            self._watch_silent()
+            self._drop_unbooted()
             self._return_some()
             if self._listed_at is None or now - self._listed_at > self._platform.cloud.list_lag / 2:
                 self._read_list()
-            self._record()
             self._repeat_requests()
             self._rent_some()
         except NoCloud as error:
@@ -229,43 +162,22 @@
         for entry in listed.values():
             if entry.machine in self._gone:
                 continue
-            machine = self._adopt(entry.machine, entry.type, entry.zone, entry.spot, entry.address, now)
+            machine = self._inventory.adopt(entry.machine, entry.type, entry.zone, entry.spot, entry.address)
             machine.rented_at = min(machine.rented_at, now - entry.age)
             if entry.state == "failed" and machine.state is not MachineState.RETURNING:
                 machine.become(MachineState.RETURNING, now, "it failed")
 
-    def _watch_silent(self) -> None:
-        """Find machines that stopped reporting or never came up, and let them go."""
+    def _drop_unbooted(self) -> None:
+        """Let go machines that never came up."""
         now = self._clock.steady()
-        limit = self._platform.workers.report * 1.25 + seconds(1)
-        for machine in list(self.machines.values()):
-            worker = self._roster.workers.get(machine.name)
-            if machine.state is MachineState.BOOTING and worker is None:
+        if now - self._began < seconds(15):
+            return
+        for machine in self.machines.values():
+            if machine.state is MachineState.BOOTING:
                 type_ = self.catalog.get(machine.type)
                 boot = type_.boot if type_ else seconds(60)
-                if now - machine.rented_at > boot * 3 + seconds(20) and now - self._reign.began > seconds(15):
+                if now - machine.rented_at > boot * 3 + seconds(20):
                     machine.become(MachineState.RETURNING, now, "it never came up")
-            elif worker is not None and now - worker.heard_at > limit:
-                if machine.state is MachineState.UP:
-                    machine.become(MachineState.SILENT, now)
-                if machine.state in (MachineState.SILENT, MachineState.FAULTY):
-                    self._spawn(self._visit_silent, machine)
-
-    def _visit_silent(self, machine: Machine) -> None:
-        if self._roster.visit(machine.address) or self._reign is None:
-            return
-        machine.silent_visits += 1
-        now = self._clock.steady()
-        zone = [m for m in self.machines.values() if m.zone == machine.zone]
-        silent = sum(m.state is MachineState.SILENT for m in zone)
-        everywhere = sum(m.state is MachineState.SILENT for m in self.machines.values())
-        # Many at once look like a cut, not like machines that died: those
-        # keep their tasks until their leases end.
-        cut = (silent >= 3 and silent * 2 > len(zone)) or (everywhere >= 4 and everywhere * 2 > len(self.machines))
-        end = self._roster.lease_end(machine.name)
-        over = end is not None and now > end + seconds(30)
-        if machine.silent_visits >= 2 and (not cut or over):
-            machine.become(MachineState.RETURNING, now, "it does not answer")
 
     # -- returning ----------------------------------------------------------
 
@@ -281,17 +193,15 @@
         records = {}
         for name in names:
             entry = self._mirror.get(MACHINE_PREFIX + name)
-            if entry is None or not entry.value.get("returning"):
-                records[MACHINE_PREFIX + name] = self._record_of(self.machines[name]) | {"returning": True}
+            if entry is None or entry.value["st"] != MachineState.RETURNING.value:
+                records[MACHINE_PREFIX + name] = self.machines[name].record()
         if records and not self._write(records):
             return
         self._call("POST", wire.RETURN_PATH, wire.return_body(names))
         for name in names:
-            self._roster.settle_machine(name)
             self._gone[name] = now
-            machine = self.machines.pop(name, None)
-            if machine is not None:
-                machine.become(MachineState.GONE, now)
+        # The deletion is what tells the block's holder that everything on
+        # the machine is gone.
         self._write({}, [MACHINE_PREFIX + name for name in names])
 
     def _note_idle(self, now: timedelta) -> None:
@@ -351,9 +261,7 @@
     def _room_wanted(self) -> float:
         """CPUs to have where the price is no aim: what is in use or waits, and a share to spare."""
         used = sum(
-            (job.placed_count() + job.waiting_count()) * job.spec.cpus
-            for job in self._book.jobs.values()
-            if not job.cancelled
+            (job.spec.tasks - job.done_count()) * job.spec.cpus for job in self._book.jobs.values() if not job.cancelled
         )
         return used * (1 + self._operators.spare_share)
 
@@ -374,7 +282,7 @@
             return
         offer, count = request
         self._requests += 1
-        name = f"r-{self._reign.term}-{self._requests}-{self._platform.node}"
+        name = f"r-{self._term}-{self._requests}-{self._platform.node}"
         intent = {"t": offer.type, "z": offer.zone, "s": offer.spot, "n": count}
         if self._write({RENT_PREFIX + name: intent}):
             self._ask_for(name, intent)
@@ -411,26 +319,12 @@
         if len(names) < intent["n"]:
             self._refused[offer] = now + REFUSED_FOR
         for machine in names:
-            self._adopt(machine, offer.type, offer.zone, offer.spot, "", now)
+            self._inventory.adopt(machine, offer.type, offer.zone, offer.spot, "")
         log.info("rented %d %s %s in %s", len(names), "spot" if offer.spot else "ordinary", offer.type, offer.zone)
         self._write({}, [key])
 
     # -- records ------------------------------------------------------------
 
-    def _record_of(self, machine: Machine) -> dict:
-        return {"a": machine.address, "t": machine.type, "z": machine.zone, "s": machine.spot}
-
-    def _record(self) -> None:
-        """Write down machines and their addresses, for the next leader."""
-        fresh = [
-            m
-            for m in self.machines.values()
-            if m.address and m.recorded != m.address and m.state is not MachineState.RETURNING
-        ][: self._store.limits.txn_ops]
-        if fresh and self._write({MACHINE_PREFIX + m.name: self._record_of(m) for m in fresh}):
-            for machine in fresh:
-                machine.recorded = machine.address
-
     def _write(self, puts: dict, deletes: Iterable[str] = ()) -> bool:
         if self._reign is None:
             return False
--- a/kelpjunction/fleet/machines.py
+++ b/kelpjunction/fleet/machines.py
@@ -1,20 +1,29 @@
-"""Machines and their states."""
+"""Machines, their states, and every node's inventory of them."""
 
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 
-from kelpjunction.clock import ZERO
+from kelpjunction.blocks import Blocks
+from kelpjunction.clock import ZERO, Clock
+from kelpjunction.store.mirror import Mirror
 
 log = logging.getLogger("fleet")
 
+MACHINE_PREFIX = "l/machine/"
+
 
 class MachineState(Enum):
-    """BOOTING -> UP <-> SILENT, any -> FAULTY or RETURNING -> GONE; `Machine.become` makes every change."""
+    """BOOTING -> UP <-> SILENT or LEAVING, any -> FAULTY or RETURNING -> GONE.
+
+    `Machine.become` makes every change.
+    """
 
     BOOTING = "booting"
     UP = "up"
+    LEAVING = "leaving"  # the cloud gave notice that it takes it back
     SILENT = "silent"  # it stopped reporting and does not answer
     FAULTY = "faulty"  # it fails what others run; nothing new starts there
     RETURNING = "returning"  # its return was asked for, and may happen at any moment
@@ -23,7 +32,7 @@
 
 @dataclass(slots=True, eq=False)
 class Machine:
-    """A machine as the leader knows it."""
+    """A machine as this node knows it."""
 
     name: str
     type: str
@@ -34,7 +43,7 @@
     since: timedelta = ZERO
     rented_at: timedelta = ZERO
     idle_since: timedelta | None = None
-    recorded: str = ""  # the address that l/machine holds
+    images: list[str] = field(default_factory=list)  # most recently used last
     failed_jobs: set[str] = field(default_factory=set)
     silent_visits: int = 0
 
@@ -44,13 +53,72 @@
             return
         if self.state is MachineState.RETURNING and state is not MachineState.GONE:
             return
-        if self.state is MachineState.FAULTY and state in (MachineState.UP, MachineState.BOOTING):
+        if self.state is MachineState.FAULTY and state is not MachineState.RETURNING and state is not MachineState.GONE:
             return
-        log.info(
-            "machine %s (%s, %s): %s -> %s %s", self.name, self.type, self.zone, self.state.value, state.value, why
-        )
+        if why:
+            log.info(
+                "machine %s (%s, %s): %s -> %s, %s", self.name, self.type, self.zone, self.state.value, state.value, why
+            )
         self.state, self.since = state, now
 
     @property
     def usable(self) -> bool:
         return self.state is MachineState.UP
+
+    def record(self) -> dict:
+        """This machine as it is stored, for the nodes that do not hold its block."""
+        return {
+            "a": self.address,
+            "t": self.type,
+            "z": self.zone,
+            "s": self.spot,
+            "st": self.state.value,
+            "im": self.images,
+        }
+
+
+class Inventory:
+    """All machines this node knows of: from the records, from workers' reports, from the cloud's list."""
+
+    def __init__(self, mirror: Mirror, blocks: Blocks, clock: Clock) -> None:
+        self._mirror = mirror
+        self._blocks = blocks
+        self._clock = clock
+        self.machines: dict[str, Machine] = {}
+        self.on_gone: Callable[[str], None] = lambda machine: None
+        mirror.listen(MACHINE_PREFIX, self._changed)
+
+    def adopt(self, name: str, type_: str, zone: str, spot: bool, address: str) -> Machine:
+        """The machine of this name, known from now on if it was not."""
+        machine = self.machines.get(name)
+        if machine is None:
+            now = self._clock.steady()
+            machine = self.machines[name] = Machine(name, type_, zone, spot, since=now, rented_at=now)
+        if address:
+            machine.address = address
+        return machine
+
+    def _changed(self, key: str, value: dict | None, version: int) -> None:
+        name = key.removeprefix(MACHINE_PREFIX)
+        if value is None:
+            # The leader deletes the record once the cloud has confirmed that
+            # the machine, and everything on it, is gone.
+            machine = self.machines.pop(name, None)
+            if machine is not None:
+                machine.become(MachineState.GONE, self._clock.steady(), "returned")
+            self.on_gone(name)
+            return
+        machine = self.adopt(name, value["t"], value["z"], value["s"], value["a"])
+        state = MachineState(value["st"])
+        if self._blocks.mine(machine.zone) is None:
+            # Its block's holder knows better than we do.
+            machine.images = value["im"]
+            if machine.state is not MachineState.RETURNING:
+                machine.state = state
+        elif state is MachineState.RETURNING:
+            machine.become(state, self._clock.steady(), "as the leader decided")
+
+    def stored(self, name: str) -> dict | None:
+        """The machine's record, if there is one."""
+        entry = self._mirror.get(MACHINE_PREFIX + name)
+        return entry.value if entry else None
--- a/kelpjunction/intake/__init__.py
+++ b/kelpjunction/intake/__init__.py
@@ -153,9 +153,11 @@
             entry = self._mirror.get(key)
             if entry is not None:
                 # A cancellation is never taken back, so it needs no asking.
-                if entry.value.get("cancelled") or self._verifier.holds({key: entry.version}):
-                    return self._describe(ref)
-                self._refresh(key)
+                if not entry.value.get("cancelled") and not self._verifier.holds({key: entry.version}):
+                    self._refresh(key)
+                elif (job := self._book.jobs.get(ref)) is not None:
+                    return Answer(200, wire.job_answer(ref, job.phase(), job.done_count(), job.placed_count()))
+                # Else it ended while this node was asking.
                 continue
             end = self._store.get(end_key)
             if end is not None:
@@ -176,11 +178,6 @@
             if stale is not None:
                 self._mirror.put(key, None, stale.version + 1)
 
-    def _describe(self, ref: str) -> Answer:
-        job = self._book.jobs[ref]
-        running = job.placed_count()
-        return Answer(200, wire.job_answer(ref, job.phase(), job.done_count(), running))
-
     def remember(self, ref: str, end: str) -> None:
         """Keep a final answer; it never changes."""
         self._ended[ref] = JobPhase.DONE if end == "done" else JobPhase.CANCELLED
--- a/kelpjunction/jobs/book.py
+++ b/kelpjunction/jobs/book.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 from enum import Enum
-from typing import Any
+from typing import Any, NamedTuple
 
 from kelpjunction.clock import ZERO
 from kelpjunction.wire.messages import Cause, JobPhase, JobSpec, Shape, TaskId
@@ -76,22 +76,32 @@
         return self.phase not in (Phase.STOPPING, Phase.SETTLED)
 
 
+class Handed(NamedTuple):
+    """The leader's leave to start a task in a block, on a named machine where the task's gang spans blocks."""
+
+    zone: str
+    machine: str | None = None
+    attempt: int | None = None
+
+
 class Chunk:
     """Up to 64 consecutive tasks."""
 
-    __slots__ = ("done", "next_attempt", "placements", "version")
+    __slots__ = ("done", "handed", "next_attempt", "placements", "version")
 
     def __init__(self) -> None:
         self.version = 0
         self.next_attempt = 1
         self.done = 0  # a bit for each task
         self.placements: dict[int, Placement] = {}
+        self.handed: dict[int, Handed] = {}
 
     def record(self) -> dict:
         """This chunk as it is stored."""
         return {
             "n": self.next_attempt,
             "d": self.done,
+            "h": [[i, *(h if h.machine else h[:1])] for i, h in self.handed.items()],
             "p": [[i, p.attempt, p.machine, p.session, p.zone] for i, p in self.placements.items()],
         }
 
@@ -125,6 +135,19 @@
         for chunk in self.chunks.values():
             yield from chunk.placements.values()
 
+    def pending(self) -> Iterator[tuple[TaskId, Handed]]:
+        """Tasks that were handed to a block and not started yet."""
+        for number, chunk in self.chunks.items():
+            for i, handed in chunk.handed.items():
+                if i not in chunk.placements and not chunk.done >> i & 1:
+                    yield TaskId(self.spec.ref, number * CHUNK + i), handed
+
+    def broken_gang(self) -> bool:
+        """Whether some task of a gang is neither placed nor about to be."""
+        if self.spec.shape is not Shape.GANG or self.done_count():
+            return False
+        return self.placed_count() > 0 and self.placed_count() + sum(1 for _ in self.pending()) < self.spec.tasks
+
     def placed_count(self) -> int:
         return sum(len(c.placements) for c in self.chunks.values())
 
@@ -136,7 +159,7 @@
         return self.spec.shape is not Shape.SERVICE and self.done_count() >= self.spec.tasks
 
     def waiting(self, most: int) -> list[TaskId]:
-        """The first tasks that are neither done nor placed, at most so many."""
+        """The first tasks that are neither done, placed nor handed over, at most so many."""
         found: list[TaskId] = []
         while self._first_open in self.full:
             self._first_open += 1
@@ -147,14 +170,16 @@
                 continue
             chunk = self.chunks.get(number)
             for i in range(self.chunk_size(number)):
-                if chunk is None or not (chunk.done >> i & 1 or i in chunk.placements):
+                if chunk is None or not (chunk.done >> i & 1 or i in chunk.placements or i in chunk.handed):
                     found.append(TaskId(self.spec.ref, number * CHUNK + i))
                     if len(found) >= most:
                         break
         return found
 
     def waiting_count(self) -> int:
-        return self.spec.tasks - self.done_count() - self.placed_count()
+        """How many tasks are neither done, placed nor handed over."""
+        pending = sum(1 for _ in self.pending())
+        return self.spec.tasks - self.done_count() - self.placed_count() - pending
 
     def phase(self) -> JobPhase:
         if self.cancelled:
@@ -230,8 +255,9 @@
         chunk.version = version if value is not None else 0
         if value is None:
             del job.chunks[number]
-            value = {"n": 1, "d": 0, "p": []}
+            value = {"n": 1, "d": 0, "h": [], "p": []}
         chunk.next_attempt, chunk.done = value["n"], value["d"]
+        chunk.handed = {row[0]: Handed(*row[1:]) for row in value["h"]}
         chunk.placements = {}
         for i, attempt, machine, session, zone in value["p"]:
             known = old.get(i)
@@ -260,10 +286,9 @@
         for there in self.on_machine.values():
             yield from there.values()
 
-    def forget_notes(self) -> None:
-        """A new reign starts from the records alone: what this node noted before is stale."""
-        for job in self.jobs.values():
-            job.errors, job.not_before, job.received = {}, ZERO, ZERO
-            for placement in job.placements():
+    def forget_notes(self, zone: str) -> None:
+        """A new holder starts from the records alone: what this node noted of the block before is stale."""
+        for placement in self.placements():
+            if placement.zone == zone:
                 placement.phase, placement.running_since = Phase.PLACED, None
                 placement.cause, placement.seen, placement.inflight = None, False, 0
--- /dev/null
+++ b/kelpjunction/jobs/holding.py
@@ -0,0 +1,420 @@
+"""A holder's rounds: what becomes of the tasks in the blocks that this node holds.
+
+It writes down what its workers report, stops what must stop, and starts the
+tasks that the leader handed to its blocks, choosing the machines itself.  All
+its writes are guarded by its blocks' grants, so a holder that was superseded
+can't start anything, and it needs no leader to keep services up.
+"""
+
+import logging
+from collections import Counter
+from datetime import timedelta
+
+from kelpjunction.blocks import Blocks, block_key
+from kelpjunction.clock import ZERO, Clock
+from kelpjunction.fleet.cloud import Fleet
+from kelpjunction.jobs.book import CHUNK, SUM_PREFIX, Book, Handed, Job, Phase, Placement, ranges
+from kelpjunction.jobs.records import Records, run_key
+from kelpjunction.jobs.views import cached, emptied, spread_of, view_of
+from kelpjunction.placement import Victim, View, choose_victims, place, place_gang
+from kelpjunction.queue import Waiting, in_order
+from kelpjunction.settings import Operators, Platform
+from kelpjunction.store.client import Transaction
+from kelpjunction.wire.messages import Cause, JobSpec, Shape, TaskId
+from kelpjunction.workers.roster import Roster
+
+log = logging.getLogger("jobs")
+
+HAND_BACK_AFTER = timedelta(milliseconds=500)
+
+
+class Holding:
+    """The tasks of the blocks that this node holds."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        operators: Operators,
+        records: Records,
+        book: Book,
+        blocks: Blocks,
+        roster: Roster,
+        fleet: Fleet,
+        clock: Clock,
+    ) -> None:
+        self._platform = platform
+        self._operators = operators
+        self._records = records
+        self._book = book
+        self._blocks = blocks
+        self._roster = roster
+        self._fleet = fleet
+        self._clock = clock
+        self._roomless: dict[str, timedelta] = {}  # since when a handed job finds no room
+
+    def gain(self, zone: str) -> None:
+        """A block became ours: start from the records alone."""
+        self._book.forget_notes(zone)
+        self._roster.clear(zone)
+
+    def round(self) -> bool:
+        """Bring the records of our blocks up to date; whether another round should follow at once."""
+        if not self._blocks.my_zones():
+            return False
+        self._raise_doubted()
+        self._roster.settle_expired()
+        results = self._results()
+        if not self._records.write(results):
+            return True
+        self._stop_what_must()
+        started = self._start_handed()
+        return bool(results) or started
+
+    def _raise_doubted(self) -> None:
+        """Raise the token of blocks where a command may still be under way."""
+        zones = sorted(self._roster.bump_zones)
+        if zones and self._blocks.raise_tokens(zones):
+            self._roster.bump_zones.difference_update(zones)
+
+    def _guarded(self, job: Job, zones: set[str]) -> Transaction:
+        """A transaction that fails if the job was cancelled, or a block is not ours any more."""
+        txn = self._records.guarded(job)
+        for zone in zones:
+            txn.guard(block_key(zone), self._blocks.grants[zone].version)
+        return txn
+
+    # -- results ------------------------------------------------------------
+
+    def _results(self) -> list[Transaction]:
+        """What must be written about settled placements."""
+        touched: dict[str, set[int]] = {}
+        for placement in self._book.placements():
+            if placement.phase is Phase.SETTLED and self._blocks.mine(placement.zone) is not None:
+                touched.setdefault(placement.task.ref, set()).add(placement.task.index // CHUNK)
+        txns: list[Transaction] = []
+        for ref, numbers in touched.items():
+            txns.extend(self._settle_job(self._book.jobs[ref], numbers))
+        return txns
+
+    def _settle_job(self, job: Job, numbers: set[int]) -> list[Transaction]:
+        over = [p for p in job.placements() if p.phase is Phase.SETTLED and self._blocks.mine(p.zone) is not None]
+        if job.spec.shape is Shape.GANG and any(p.cause is Cause.DONE for p in over):
+            # They complete together, those in other blocks too.
+            numbers = set(job.chunks)
+            over = list(job.placements())
+            done = set(over)
+        else:
+            done = {p for p in over if p.cause is Cause.DONE}
+        records = {number: self._settled_chunk(job, number, set(over), done) for number in numbers}
+        if not job.cancelled and self._finished(job, records):
+            return [self._records.ending(job)]
+        return self._chunk_txns(job, records, {p.zone for p in over if self._blocks.mine(p.zone) is not None})
+
+    def _settled_chunk(self, job: Job, number: int, over: set[Placement], done: set[Placement]) -> dict:
+        """A chunk's record without what is over; what did not end well goes back to the leader."""
+        chunk = job.chunks[number]
+        record = chunk.record()
+        gone = {i for i, p in chunk.placements.items() if p in over}
+        # A service's replica is started again in its block even if nobody
+        # leads; everything else the leader hands over anew.
+        keep = job.spec.shape is Shape.SERVICE and not job.cancelled
+        record["p"] = [row for row in record["p"] if row[0] not in gone]
+        record["h"] = [row for row in record["h"] if row[0] not in gone or keep]
+        for i, placement in chunk.placements.items():
+            if placement in done:
+                record["d"] |= 1 << i
+        return record
+
+    def _finished(self, job: Job, records: dict[int, dict]) -> bool:
+        if job.spec.shape is Shape.SERVICE:
+            return False
+        done = sum(job.chunk_size(n) for n in job.full)
+        for number, chunk in job.chunks.items():
+            if number not in job.full:
+                record = records.get(number)
+                done += (record["d"] if record else chunk.done).bit_count()
+        return done >= job.spec.tasks
+
+    def _chunk_txns(self, job: Job, records: dict[int, dict], zones: set[str]) -> list[Transaction]:
+        """Chunks as they now stand; a chunk that is all done is folded into the sum, one in a round."""
+        txns: list[Transaction] = []
+        folded = False
+        for number, record in sorted(records.items()):
+            key = run_key(job.spec.ref, number)
+            txn = self._guarded(job, zones).guard(key, job.chunks[number].version)
+            whole = record["d"].bit_count() == job.chunk_size(number)
+            if whole and not record["p"] and job.chunk_count > 1 and not folded:
+                folded = True
+                sum_key = SUM_PREFIX + job.spec.ref
+                txn.guard(sum_key, job.sum_version).put(sum_key, {"full": ranges(job.full | {number})})
+                txn.delete(key)
+            else:
+                txn.put(key, record)
+            txns.append(txn)
+        return txns
+
+    # -- stopping -----------------------------------------------------------
+
+    def _stop_what_must(self) -> None:
+        """Stop tasks of cancelled jobs, of broken gangs, and on machines about to be taken."""
+        told: list[Placement] = []
+        for job in self._book.jobs.values():
+            if job.cancelled:
+                told += self._stop_all(job, ZERO, "cancelled")
+            elif job.broken_gang():
+                told += self._stop_all(job, ZERO, "its gang is not whole")
+            elif job.spec.shape is Shape.GANG and not all(p.live for p in job.placements()):
+                told += self._stop_all(job, job.spec.save, "its gang is being stopped")
+        now = self._clock.steady()
+        for worker in self._roster.workers.values():
+            if worker.notice_at is None:
+                continue
+            for placement in self._book.on_machine.get(worker.machine, {}).values():
+                spec = placement.spec
+                margin = spec.save * 1.2 + self._platform.workers.report * 1.5
+                if placement.live and spec.checkpoint and worker.notice_at - now < margin:
+                    self._roster.stop(placement, spec.save, "its machine is taken back")
+                    told.append(placement)
+        self._roster.send(told)
+
+    def _stop_all(self, job: Job, grace: timedelta, why: str) -> list[Placement]:
+        """Stop all of a job's tasks in our blocks."""
+        stopped = [p for p in job.placements() if p.live and self._blocks.mine(p.zone) is not None]
+        for placement in stopped:
+            self._roster.stop(placement, grace, why)
+        return stopped
+
+    # -- starting -----------------------------------------------------------
+
+    def _start_handed(self) -> bool:
+        """Start what the leader handed to our blocks; whether anything was started or handed back."""
+        now = self._clock.steady()
+        handed: dict[str, list[tuple[TaskId, Handed]]] = {}
+        for job in self._book.jobs.values():
+            if not job.cancelled and now >= job.not_before:
+                ours = [(t, h) for t, h in job.pending() if self._blocks.mine(h.zone) is not None]
+                if ours:
+                    handed[job.spec.ref] = ours
+        self._roomless = {ref: since for ref, since in self._roomless.items() if ref in handed}
+        if not handed:
+            return False
+        self._fleet.note_scarce()
+        views = self._views()
+        txns: list[Transaction] = []
+        starting: list[TaskId] = []
+        roomless: list[tuple[Job, list[tuple[TaskId, Handed]]]] = []
+        for ref in self._order(handed):
+            job = self._book.jobs[ref]
+            starts, left = self._choose(job, handed[ref], views)
+            if starts:
+                txns += self._start_txns(job, starts)
+                starting += [task for task, _, _ in starts]
+            if left:
+                roomless.append((job, left))
+            else:
+                self._roomless.pop(ref, None)
+        if txns:
+            if not self._records.write(txns):
+                return True
+            placed = [self._book.placement(task) for task in starting]
+            self._roster.send([p for p in placed if p is not None and p.live])
+        back = self._make_room(roomless, views)
+        return bool(txns) or back
+
+    def _order(self, handed: dict[str, list]) -> list[str]:
+        weights = self._operators.class_weights
+        jobs = [self._book.jobs[ref] for ref in handed]
+        return in_order(
+            (Waiting(j.spec.ref, weights[j.spec.shape.value], j.submitted, j.received) for j in jobs),
+            self._clock.utc(),
+            self._operators.arrival_credit,
+        )
+
+    def _choose(
+        self, job: Job, ours: list[tuple[TaskId, Handed]], views: list[View]
+    ) -> tuple[list[tuple[TaskId, View, int | None]], list[tuple[TaskId, Handed]]]:
+        """Machines for a job's handed tasks; and the tasks that found none."""
+        spec = job.spec
+        able = [v for v in views if v.name not in job.errors] or views
+        if spec.shape is Shape.GANG:
+            return self._choose_for_gang(job, ours, able, views)
+        starts: list[tuple[TaskId, View, int | None]] = []
+        left: list[tuple[TaskId, Handed]] = []
+        _, mates = spread_of(job)
+        for zone in sorted({h.zone for _, h in ours}):
+            tasks = [(t, h) for t, h in ours if h.zone == zone]
+            chosen = place(spec, len(tasks), [v for v in able if v.zone == zone], Counter(), mates)
+            starts += [(task, view, None) for (task, _), view in zip(tasks, chosen, strict=False)]
+            left += tasks[len(chosen) :]
+        return starts, left
+
+    def _choose_for_gang(
+        self, job: Job, ours: list[tuple[TaskId, Handed]], able: list[View], views: list[View]
+    ) -> tuple[list[tuple[TaskId, View, int | None]], list[tuple[TaskId, Handed]]]:
+        """A gang that spans blocks starts where the leader said; one that was handed whole, where it fits."""
+        spec = job.spec
+        named = [(t, h) for t, h in ours if h.machine is not None]
+        if named:
+            by_name = {v.name: v for v in able}
+            starts = []
+            for task, handed in named:
+                view = by_name.get(handed.machine)
+                if view is None or not view.fits(spec):
+                    return [], named
+                view.take(spec)
+                starts.append((task, view, handed.attempt))
+            return starts, []
+        if len(ours) < spec.tasks or job.placed_count():
+            return [], []  # the rest of it is still being handed over, or leaving
+        zones = {h.zone for _, h in ours}
+        chosen = place_gang(spec, [v for v in able if v.zone in zones])
+        if chosen is not None:
+            attempt = max(c.next_attempt for c in job.chunks.values())
+            return [(task, view, attempt) for (task, _), view in zip(ours, chosen, strict=True)], []
+        # Nothing below it in the order starts on the machines picked for it.
+        held = place_gang(spec, [emptied(v, self._on(v)) for v in able if v.zone in zones]) or []
+        names = {v.name for v in held}
+        for view in views:
+            if view.name in names:
+                view.held_for = spec.ref
+        return [], [] if held else ours
+
+    def _on(self, view: View) -> list[Placement]:
+        return list(self._book.on_machine.get(view.name, {}).values())
+
+    def _start_txns(self, job: Job, starts: list[tuple[TaskId, View, int | None]]) -> list[Transaction]:
+        """Launch records, guarded by the job, the chunk and the blocks' grants."""
+        by_chunk: dict[int, list[tuple[TaskId, View, int | None]]] = {}
+        for start in starts:
+            by_chunk.setdefault(start[0].index // CHUNK, []).append(start)
+        txns = []
+        for number, group in by_chunk.items():
+            chunk = job.chunks[number]
+            record = chunk.record()
+            txn = self._guarded(job, {view.zone for _, view, _ in group})
+            txn.guard(run_key(job.spec.ref, number), chunk.version)
+            for task, view, named in group:
+                attempt = chunk.next_attempt if named is None else named
+                record["n"] = max(record["n"], attempt + 1)
+                session = self._roster.workers[view.name].session
+                record["p"].append([task.index % CHUNK, attempt, view.name, session, view.zone])
+            txns.append(txn.put(run_key(job.spec.ref, number), record))
+        return txns
+
+    def _views(self) -> list[View]:
+        """Machines of our blocks that can take work now."""
+        now = self._clock.steady()
+        silent_after = self._platform.workers.report * 2.5
+        catalog = self._fleet.catalog
+        views: list[View] = []
+        for worker in self._roster.workers.values():
+            machine = self._fleet.machines.get(worker.machine)
+            type_ = catalog.get(machine.type) if machine else None
+            if type_ is None or not machine.usable or self._blocks.mine(machine.zone) is None:
+                continue
+            if worker.notice_at is not None or now - worker.heard_at > silent_after:
+                continue
+            images = cached(reversed(worker.images.items()), type_.cache_gb)
+            there = self._book.on_machine.get(machine.name, {}).values()
+            views.append(view_of(machine, type_, images, there, self._fleet))
+        return views
+
+    # -- making room ----------------------------------------------------------
+
+    def _make_room(self, roomless: list[tuple[Job, list[tuple[TaskId, Handed]]]], views: list[View]) -> bool:
+        """Stop others for services without room; give back to the leader what finds none here."""
+        if not roomless:
+            return False
+        now = self._clock.steady()
+        victims = self._victims(views, now)
+        told: list[Placement] = []
+        back: list[Transaction] = []
+        for job, left in roomless:
+            if job.spec.ref not in self._book.jobs:
+                continue  # it ended while the launches were written
+            since = self._roomless.setdefault(job.spec.ref, now)
+            if job.spec.shape is Shape.SERVICE and self._stop_for(job, left, views, victims, told):
+                continue
+            if now - since >= HAND_BACK_AFTER:
+                del self._roomless[job.spec.ref]
+                back += self._hand_back(job, left)
+        self._roster.send(told)
+        if back:
+            self._records.write(back)
+        return bool(back)
+
+    def _hand_back(self, job: Job, left: list[tuple[TaskId, Handed]]) -> list[Transaction]:
+        log.info("job %s: no room here for %d of its tasks", job.spec.ref, len(left))
+        txns = []
+        for number in sorted({t.index // CHUNK for t, _ in left}):
+            mine = {t.index % CHUNK for t, _ in left if t.index // CHUNK == number}
+            chunk = job.chunks[number]
+            record = chunk.record()
+            record["h"] = [row for row in record["h"] if row[0] not in mine]
+            key = run_key(job.spec.ref, number)
+            zones = {h.zone for _, h in left}
+            txns.append(self._guarded(job, zones).guard(key, chunk.version).put(key, record))
+        return txns
+
+    def _victims(self, views: list[View], now: timedelta) -> dict[str, list[Victim]]:
+        """What could be stopped, by machine; room that is being freed already is given to the views."""
+        victims: dict[str, list[Victim]] = {}
+        for view in views:
+            victims[view.name] = []
+            for placement in self._on(view):
+                if placement.phase is Phase.STOPPING:
+                    view.give_back(placement.spec)
+                elif placement.live and may_be_stopped(placement.spec):
+                    victims[view.name].append(self._victim(placement, now))
+        return victims
+
+    def _stop_for(
+        self,
+        job: Job,
+        left: list[tuple[TaskId, Handed]],
+        views: list[View],
+        victims: dict[str, list[Victim]],
+        told: list[Placement],
+    ) -> bool:
+        """Stop array tasks or whole checkpointing gangs for a service; whether all its tasks will find room."""
+        spec = job.spec
+        _, mates = spread_of(job)
+        for zone in sorted({h.zone for _, h in left}):
+            there = [v for v in views if v.zone == zone]
+            count = sum(h.zone == zone for _, h in left)
+            count -= len(place(spec, count, there, Counter(), mates))
+            for _ in range(count):
+                able = {n: [v for v in vs if v.priority < spec.priority] for n, vs in victims.items()}
+                choice = choose_victims(spec, there, able, Counter())
+                if choice is None:
+                    return False
+                view, chosen = choice
+                for victim in chosen:
+                    told += self._stop_victim(victim.placement, spec)
+                    victims[view.name] = [v for v in victims[view.name] if v.placement is not victim.placement]
+                    view.give_back(victim.placement.spec)
+                view.take(spec)
+        return True
+
+    def _victim(self, placement: Placement, now: timedelta) -> Victim:
+        """What stopping this task would lose: the part of its run that is not saved."""
+        spec = placement.spec
+        ran = now - placement.running_since if placement.running_since is not None else ZERO
+        loss = min(ran, spec.save) if spec.checkpoint else ran
+        if spec.shape is Shape.GANG:
+            loss = (loss + spec.save) * spec.tasks
+        return Victim(placement, placement.machine, spec.priority, spec.cpus, spec.gpus, spec.memory, loss)
+
+    def _stop_victim(self, placement: Placement, for_: JobSpec) -> list[Placement]:
+        job = self._book.jobs[placement.task.ref]
+        why = f"{for_.ref} needs its room"
+        log.info("stopping %s on %s: %s", placement.task, placement.machine, why)
+        if job.spec.shape is Shape.GANG:
+            return self._stop_all(job, job.spec.save, why)
+        self._roster.stop(placement, placement.spec.save if placement.spec.checkpoint else ZERO, why)
+        return [placement]
+
+
+def may_be_stopped(spec: JobSpec) -> bool:
+    """Whether services may stop this work: array tasks, and gangs that save."""
+    return spec.shape is Shape.ARRAY or (spec.shape is Shape.GANG and bool(spec.checkpoint))
--- /dev/null
+++ b/kelpjunction/jobs/leading.py
@@ -0,0 +1,371 @@
+"""The leader's rounds: the order of jobs, and which block each is handed to.
+
+The leader alone hands tasks to blocks, so it alone answers for the teams'
+limits and the jobs' zones: what is handed or placed counts until it is
+settled.  The holders of the blocks choose machines and start the tasks.
+"""
+
+import logging
+from collections import Counter
+from datetime import timedelta
+
+from kelpjunction.blocks import Blocks
+from kelpjunction.clock import ZERO, Clock
+from kelpjunction.fleet.cloud import Fleet
+from kelpjunction.fleet.demand import Want
+from kelpjunction.jobs.book import CHUNK, RUN_PREFIX, Book, Chunk, Job
+from kelpjunction.jobs.holding import may_be_stopped
+from kelpjunction.jobs.records import Records, run_key
+from kelpjunction.jobs.views import emptied, spread_of, view_of
+from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
+from kelpjunction.placement import Victim, View, choose_victims, place, place_gang
+from kelpjunction.queue import Usage, Waiting, in_order
+from kelpjunction.settings import Operators, Platform
+from kelpjunction.store.client import StoreClient, Transaction
+from kelpjunction.store.mirror import Mirror
+from kelpjunction.wire.messages import Shape, TaskId
+
+log = logging.getLogger("jobs")
+
+SNAPSHOT_PREFIX = "s/deficit/"
+MOST_AT_ONCE = 512  # tasks of one job handed over in one round
+REFUSED_FOR = timedelta(seconds=2)
+MOVE_GANG_AFTER = timedelta(seconds=2)
+
+
+class Leading:
+    """Hands jobs to blocks while this node leads."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        operators: Operators,
+        store: StoreClient,
+        mirror: Mirror,
+        records: Records,
+        book: Book,
+        leadership: Leadership,
+        blocks: Blocks,
+        fleet: Fleet,
+        clock: Clock,
+    ) -> None:
+        self._platform = platform
+        self._operators = operators
+        self._store = store
+        self._mirror = mirror
+        self._records = records
+        self._book = book
+        self._leadership = leadership
+        self._blocks = blocks
+        self._fleet = fleet
+        self._clock = clock
+        self._reign: Reign
+        self._counted_at = ZERO
+        self._snapshot_at = ZERO
+        self._snapshot_keys = 0
+        self._handed_at: dict[TaskId, tuple[str, timedelta]] = {}
+
+    def begin(self, reign: Reign) -> None:
+        """Start a reign: read the last snapshot of the deficits.
+
+        The reign is kept until the next: it may end while a round waits for
+        an answer, and what that round still writes then fails by its guards.
+        """
+        self._reign = reign
+        self._records.left_over = True
+        self._handed_at = {}
+        self._counted_at = self._snapshot_at = self._clock.steady()
+        for job in self._book.jobs.values():
+            job.received = ZERO
+        entries, _ = self._store.scan(SNAPSHOT_PREFIX)
+        self._snapshot_keys = len(entries)
+        for entry in entries:
+            for ref, received in entry.value.items():
+                if ref in self._book.jobs:
+                    self._book.jobs[ref].received = timedelta(seconds=received)
+
+    def round(self) -> bool:
+        """End what is over and hand over what is next; whether another round should follow at once."""
+        types = self._fleet.catalog.values()
+        zones = sorted({*self._platform.zones, *(z for t in types for z in t.zones)})
+        self._blocks.assign(self._reign, zones, self._leadership.members)
+        over = [self._records.ending(j) for j in self._book.jobs.values() if self._over(j)]
+        if not self._records.write(over):
+            return True
+        self._sweep()
+        self._count_received()
+        handed = self._hand_over()
+        self._snapshot()
+        return bool(over) or handed
+
+    def _over(self, job: Job) -> bool:
+        """Whether nothing is left to do but to write down the end."""
+        if job.cancelled:
+            return job.placed_count() == 0
+        # One done task of a gang means that all are.
+        gang_done = job.spec.shape is Shape.GANG and job.done_count() > 0
+        return job.all_done() or (gang_done and job.placed_count() == 0)
+
+    def _sweep(self) -> None:
+        """Delete chunks that ended jobs left behind because a transaction has limits."""
+        if not self._records.left_over:
+            return
+        self._records.left_over = False
+        keys = [e.key for e in self._mirror.below(RUN_PREFIX) if e.key.split("/")[2] not in self._book.jobs]
+        self._records.left_over = not self._records.write([self._led().delete(key) for key in keys])
+
+    def _led(self) -> Transaction:
+        """A transaction that fails if another leads."""
+        return Transaction().guard(LEAD_KEY, self._reign.lead_version)
+
+    def _count_received(self) -> None:
+        """Charge the machine time of what is placed to its jobs."""
+        now = self._clock.steady()
+        passed = now - self._counted_at
+        if passed < self._operators.round:
+            return
+        self._counted_at = now
+        for placement in self._book.placements():
+            self._book.jobs[placement.task.ref].received += passed
+        self._handed_at = {t: h for t, h in self._handed_at.items() if now - h[1] < REFUSED_FOR * 10}
+
+    # -- handing over -------------------------------------------------------
+
+    def _hand_over(self) -> bool:
+        """Hand jobs to blocks in the order of their deficits while room lasts; whether any was handed."""
+        waiting = [j for j in self._book.jobs.values() if not j.cancelled and j.waiting_count() > 0]
+        held_back = [j for j in self._book.jobs.values() if self._stuck_gang(j)]
+        self._fleet.wants = []
+        if not waiting and not held_back:
+            return False
+        self._fleet.note_scarce()
+        views = self._views()
+        usage = self._usage()
+        weights = self._operators.class_weights
+        order = in_order(
+            (Waiting(j.spec.ref, weights[j.spec.shape.value], j.submitted, j.received) for j in waiting),
+            self._clock.utc(),
+            self._operators.arrival_credit,
+        )
+        txns: list[Transaction] = []
+        unplaced: list[tuple[Job, int]] = []
+        for job in held_back:
+            txns += self._move_gang(job, views)
+            unplaced.append((job, job.spec.tasks))
+        topped = bool(held_back)
+        for ref in order:
+            job = self._book.jobs[ref]
+            if job.spec.shape is Shape.GANG:
+                left = self._hand_gang(job, views, usage, txns, at_top=not topped)
+                topped = topped or left > 0
+            else:
+                left = self._hand_tasks(job, views, usage, txns)
+            if left:
+                unplaced.append((job, left))
+        # One write a round for each job: what was handed in part gets its rest in the next.
+        services = [
+            (j, n) for j, n in unplaced if j.spec.shape is Shape.SERVICE and n == min(j.waiting_count(), MOST_AT_ONCE)
+        ]
+        txns += self._hand_where_others_may_stop(services, views, usage)
+        self._fleet.wants = [Want(job.spec, left) for job, left in unplaced]
+        if txns:
+            self._records.write(txns)
+        return bool(txns)
+
+    def _hand_tasks(self, job: Job, views: list[View], usage: Usage, txns: list[Transaction]) -> int:
+        """Hand over tasks of an array or service; returns how many found no room in any block."""
+        spec = job.spec
+        tasks = job.waiting(MOST_AT_ONCE)
+        room = usage.room(spec.team, spec.cpus, spec.gpus, len(tasks))
+        if room == 0:
+            self._why(job, "its team is at its limit")
+            return 0
+        zones, mates = spread_of(job)
+        refused = self._refused_zones(tasks)
+        chosen = place(spec, room, [v for v in views if v.zone not in refused], zones, mates)
+        self._why(job, "" if len(chosen) >= room else "no machine has room")
+        if chosen:
+            usage.add(spec.team, spec.cpus, spec.gpus, len(chosen))
+            txns += self._hand_txns(job, [(t, (v.zone,)) for t, v in zip(tasks, chosen, strict=False)])
+        return room - len(chosen)
+
+    def _refused_zones(self, tasks: list[TaskId]) -> set[str]:
+        """Blocks that gave back tasks of this job a moment ago."""
+        now = self._clock.steady()
+        last = (self._handed_at.get(t) for t in tasks)
+        return {zone for zone, at in (h for h in last if h) if now - at < REFUSED_FOR}
+
+    def _hand_gang(self, job: Job, views: list[View], usage: Usage, txns: list[Transaction], at_top: bool) -> int:
+        """Hand over a whole gang or nothing; returns how many tasks found no room."""
+        spec = job.spec
+        if job.waiting_count() < spec.tasks:
+            return 0
+        if usage.room(spec.team, spec.cpus, spec.gpus, spec.tasks) < spec.tasks:
+            self._why(job, "its team is at its limit")
+            return 0
+        chosen = place_gang(spec, views)
+        if chosen is None:
+            self._why(job, "the gang does not fit whole")
+            if at_top:
+                self._hold_for(job, views, usage, txns)
+            return spec.tasks
+        self._why(job, "")
+        usage.add(spec.team, spec.cpus, spec.gpus, spec.tasks)
+        txns += self._hand_txns(job, self._gang_rows(job, chosen))
+        return 0
+
+    def _gang_rows(self, job: Job, chosen: list[View]) -> list[tuple[TaskId, tuple]]:
+        """A gang in one block is placed by its holder; one that spans blocks is placed here."""
+        tasks = [TaskId(job.spec.ref, i) for i in range(job.spec.tasks)]
+        if len({v.zone for v in chosen}) == 1:
+            return [(t, (v.zone,)) for t, v in zip(tasks, chosen, strict=True)]
+        attempt = max((c.next_attempt for c in job.chunks.values()), default=1)
+        return [(t, (v.zone, v.name, attempt)) for t, v in zip(tasks, chosen, strict=True)]
+
+    def _hold_for(self, job: Job, views: list[View], usage: Usage, txns: list[Transaction]) -> None:
+        """The gang tops the order: hand it to the block where it will fit, whose holder keeps machines for it.
+
+        Nothing below it in the order goes to the machines picked for it.
+        """
+        spec = job.spec
+        picked = place_gang(spec, [emptied(v, self._on(v)) for v in sorted(views, key=lambda v: v.tasks)])
+        if picked is None:
+            return
+        names = {v.name for v in picked}
+        for view in views:
+            if view.name in names:
+                view.held_for = spec.ref
+        if len({v.zone for v in picked}) == 1:
+            usage.add(spec.team, spec.cpus, spec.gpus, spec.tasks)
+            txns += self._hand_txns(job, self._gang_rows(job, picked))
+
+    def _stuck_gang(self, job: Job) -> bool:
+        """Whether a gang was handed to a block and found no room there yet."""
+        if job.spec.shape is not Shape.GANG or job.cancelled or job.placed_count():
+            return False
+        first = next(job.pending(), None)
+        if first is None:
+            return False
+        at = self._handed_at.get(first[0])
+        return at is None or self._clock.steady() - at[1] > MOVE_GANG_AFTER
+
+    def _move_gang(self, job: Job, views: list[View]) -> list[Transaction]:
+        """Hand a stuck gang to another block if it fits there; else keep the machines where it waits."""
+        spec = job.spec
+        zones = {h.zone for _, h in job.pending()}
+        chosen = place_gang(spec, views)
+        if chosen is not None and {v.zone for v in chosen} != zones:
+            return self._hand_txns(job, self._gang_rows(job, chosen))
+        for view in views:
+            if view.zone in zones and view.type.cpus >= spec.cpus and view.type.gpus >= spec.gpus:
+                view.held_for = spec.ref
+        return []
+
+    def _hand_txns(self, job: Job, rows: list[tuple[TaskId, tuple]]) -> list[Transaction]:
+        """Write down to which blocks these tasks are handed."""
+        now = self._clock.steady()
+        by_chunk: dict[int, dict[int, tuple]] = {}
+        for task, where in rows:
+            by_chunk.setdefault(task.index // CHUNK, {})[task.index % CHUNK] = where
+            self._handed_at[task] = (where[0], now)
+        txns = []
+        for number, group in by_chunk.items():
+            chunk = job.chunks.get(number) or Chunk()
+            record = chunk.record()
+            kept = [row for row in record["h"] if row[0] not in group]
+            record["h"] = kept + [[i, *where] for i, where in group.items()]
+            key = run_key(job.spec.ref, number)
+            txn = self._records.guarded(job).guard(LEAD_KEY, self._reign.lead_version)
+            txns.append(txn.guard(key, chunk.version).put(key, record))
+        return txns
+
+    def _why(self, job: Job, why: str) -> None:
+        if why != job.why_waiting:
+            job.why_waiting = why
+            if why:
+                log.info("job %s waits: %s", job.spec.ref, why)
+
+    def _usage(self) -> Usage:
+        usage = Usage(self._platform.teams)
+        for job in self._book.jobs.values():
+            count = job.placed_count() + sum(1 for _ in job.pending())
+            usage.add(job.spec.team, job.spec.cpus, job.spec.gpus, count)
+        return usage
+
+    def _on(self, view: View) -> list:
+        return list(self._book.on_machine.get(view.name, {}).values())
+
+    def _views(self) -> list[View]:
+        """All usable machines of blocks that have a holder, less what is on them or on its way to them."""
+        catalog = self._fleet.catalog
+        members = self._leadership.members
+        views: list[View] = []
+        for machine in self._fleet.machines.values():
+            type_ = catalog.get(machine.type)
+            if type_ is None or not machine.usable or self._blocks.holder(machine.zone) not in members:
+                continue
+            there = self._book.on_machine.get(machine.name, {}).values()
+            views.append(view_of(machine, type_, set(machine.images), there, self._fleet))
+        for job in self._book.jobs.values():
+            pending = Counter(h.zone for _, h in job.pending())
+            if job.spec.shape is Shape.GANG and self._stuck_gang(job):
+                continue
+            for zone, count in pending.items():
+                place(job.spec, count, [v for v in views if v.zone == zone], Counter(), Counter())
+        return views
+
+    def _hand_where_others_may_stop(
+        self, services: list[tuple[Job, int]], views: list[View], usage: Usage
+    ) -> list[Transaction]:
+        """Hand services without room to blocks where array tasks or gangs may be stopped for them."""
+        if not services:
+            return []
+        victims = {
+            v.name: [
+                Victim(p, v.name, p.spec.priority, p.spec.cpus, p.spec.gpus, p.spec.memory, ZERO)
+                for p in self._on(v)
+                if may_be_stopped(p.spec)
+            ]
+            for v in views
+        }
+        txns: list[Transaction] = []
+        for job, count in services:
+            spec = job.spec
+            zones, _ = spread_of(job)
+            tasks = job.waiting(MOST_AT_ONCE)
+            refused = self._refused_zones(tasks)
+            rows: list[tuple[TaskId, tuple]] = []
+            for task in tasks[: usage.room(spec.team, spec.cpus, spec.gpus, count)]:
+                able = {n: [v for v in vs if v.priority < spec.priority] for n, vs in victims.items()}
+                choice = choose_victims(spec, [v for v in views if v.zone not in refused], able, zones)
+                if choice is None:
+                    break
+                view, chosen = choice
+                for victim in chosen:
+                    victims[view.name].remove(victim)
+                    view.give_back(victim.placement.spec)
+                view.take(spec)
+                zones[view.zone] += 1
+                rows.append((task, (view.zone,)))
+            if rows:
+                usage.add(spec.team, spec.cpus, spec.gpus, len(rows))
+                txns += self._hand_txns(job, rows)
+        return txns
+
+    # -- the snapshot -------------------------------------------------------
+
+    def _snapshot(self) -> None:
+        """Write down what waiting jobs have received, for the next leader's order."""
+        now = self._clock.steady()
+        if now - self._snapshot_at < self._operators.snapshot:
+            return
+        self._snapshot_at = now
+        rows = [(j.spec.ref, round(j.received.total_seconds(), 1)) for j in self._book.jobs.values() if j.received]
+        per_key = max(1, self._store.limits.value_bytes // 64)
+        parts = [dict(rows[i : i + per_key]) for i in range(0, len(rows), per_key)]
+        parts = parts[: self._store.limits.txn_ops - 2]
+        puts = {f"{SNAPSHOT_PREFIX}{i}": part for i, part in enumerate(parts)}
+        stale = [f"{SNAPSHOT_PREFIX}{i}" for i in range(len(parts), self._snapshot_keys)][:2]
+        if puts or stale:
+            self._store.commit({LEAD_KEY: self._reign.lead_version}, puts, stale)
+            self._snapshot_keys = len(parts)
--- /dev/null
+++ b/kelpjunction/jobs/records.py
@@ -0,0 +1,143 @@
+"""Writing the records of jobs: transactions, conflicts, and outcomes that are unknown.
+
+All of a node's writes of jobs' records come one after another from its rounds,
+so two of them never race inside a node; other nodes' writes are met by the
+guards.  A transaction whose outcome is unknown stops the rounds until it is
+fenced: the keys it was guarded by are read and written anew, so that it can't
+be applied later.
+"""
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from kelpjunction.jobs.book import END_PREFIX, JOB_PREFIX, RUN_PREFIX, SUM_PREFIX, Book, Chunk, Job
+from kelpjunction.store.client import Ending, StoreClient, Transaction
+from kelpjunction.store.mirror import Mirror
+from kelpjunction.wire.state import GUARDS_PER_OP, MAX_TXN_BYTES
+
+log = logging.getLogger("jobs")
+
+
+def run_key(ref: str, number: int) -> str:
+    return f"{RUN_PREFIX}{ref}/{number}"
+
+
+class Records:
+    """This node's writes of jobs' records."""
+
+    def __init__(self, store: StoreClient, mirror: Mirror, book: Book, on_ended: Callable[[str, str], None]) -> None:
+        self._store = store
+        self._mirror = mirror
+        self._book = book
+        self._on_ended = on_ended
+        self._doubtful: set[str] = set()
+        self.left_over = True  # whether ended jobs may have left chunks behind
+
+    def guarded(self, job: Job) -> Transaction:
+        """A transaction that fails if the job was cancelled or ended since."""
+        return Transaction().guard(JOB_PREFIX + job.spec.ref, job.version)
+
+    def ending(self, job: Job) -> Transaction:
+        """Move a job to its final record."""
+        ref = job.spec.ref
+        end = "cancelled" if job.cancelled else "done"
+        txn = self.guarded(job).delete(JOB_PREFIX + ref).put(END_PREFIX + ref, {"end": end})
+        if job.sum_version:
+            txn.delete(SUM_PREFIX + ref)
+        for number, chunk in job.chunks.items():
+            if txn.ops >= self._store.limits.txn_ops:
+                self.left_over = True
+                break
+            txn.guard(run_key(ref, number), chunk.version).delete(run_key(ref, number))
+        return txn
+
+    def write(self, txns: list[Transaction]) -> bool:
+        """Apply these, merged as far as the limits go; False if the round must end."""
+        for txn in self._merged(txns):
+            outcome = self._store.apply(txn)
+            if outcome.ending is Ending.APPLIED:
+                ended = {k: v for k, v in txn.puts.items() if k.startswith(END_PREFIX)}
+                live = {k: v for k, v in txn.puts.items() if k not in ended}
+                self._mirror.put_outcome(live, txn.deletes, outcome.revision)
+                for key, value in ended.items():
+                    log.info("job %s: %s", key.removeprefix(END_PREFIX), value["end"])
+                    self._on_ended(key.removeprefix(END_PREFIX), value["end"])
+                continue
+            log.debug("transaction %s: %s", outcome.ending.value, ", ".join(outcome.failed))
+            if outcome.ending is Ending.CONFLICT:
+                self._reread(outcome.failed or txn.guards)
+            elif outcome.ending is Ending.UNKNOWN:
+                log.info("transaction of unknown outcome: %s", ", ".join(txn.puts))
+                self._doubtful.update(txn.guards)
+            return False
+        return True
+
+    def _merged(self, txns: list[Transaction]) -> list[Transaction]:
+        limits = self._store.limits
+        merged: list[Transaction] = []
+        size = 0
+        for txn in txns:
+            more = txn.size()
+            last = merged[-1] if merged else None
+            fits = (
+                last is not None
+                and last.ops + txn.ops <= limits.txn_ops
+                and len(last.guards.keys() | txn.guards.keys()) <= limits.txn_ops * GUARDS_PER_OP
+                and size + more <= MAX_TXN_BYTES
+                and not (last.puts.keys() | last.deletes) & (txn.puts.keys() | txn.deletes)
+            )
+            if fits:
+                last.guards |= txn.guards
+                last.puts |= txn.puts
+                last.deletes |= txn.deletes
+                size += more
+            else:
+                merged.append(txn)
+                size = more
+        return merged
+
+    def _reread(self, keys: Iterable[str]) -> None:
+        """Take in what the store has for these keys."""
+        for key in keys:
+            entry = self._store.get(key)
+            if entry is not None:
+                self._mirror.put(*entry)
+            elif self._mirror.get(key) is not None:
+                # Gone: the follow will say so, with the revision.
+                self._mirror.load()
+                return
+
+    def settled(self) -> bool:
+        """Make sure that transactions of unknown outcome are applied by now or never will be.
+
+        Each of them is guarded by the versions of the chunks it writes: writing
+        those anew, as they are found, moves the versions.
+        """
+        if not self._doubtful:
+            return True
+        found: dict[str, Any] = {}
+        refs: set[str] = set()
+        for key in sorted(self._doubtful):
+            if not key.startswith((JOB_PREFIX, RUN_PREFIX, SUM_PREFIX)):
+                continue
+            entry = self._store.get(key)
+            found[key] = entry
+            if key.startswith(JOB_PREFIX) and entry is not None:
+                refs.add(key.removeprefix(JOB_PREFIX))
+        for key, entry in found.items():
+            if key.split("/")[2] not in refs:
+                continue  # the job ended: nothing can be started for it
+            if entry is None and not key.startswith(RUN_PREFIX):
+                continue
+            value = entry.value if entry else Chunk().record()
+            outcome = self._store.commit({key: entry.version if entry else 0}, {key: value})
+            if outcome.ending is not Ending.APPLIED:
+                log.info("fence of %s: %s", key, outcome.ending.value)
+                return False
+            self._mirror.put(key, value, outcome.revision)
+        if any(e is None for e in found.values()):
+            self._mirror.load()
+        log.info("fenced %d keys", len(found))
+        self._doubtful.clear()
+        return True
--- a/kelpjunction/leadership/__init__.py
+++ b/kelpjunction/leadership/__init__.py
@@ -1,8 +1,8 @@
-"""Who leads: election by a held key, terms, takeover.
+"""Who is alive and who leads: election by a held key, terms, takeover.
 
-Owns this node's `Standing` and, while it leads, its `Reign`.  The key
-`l/lead` is attached to a hold, so it vanishes when its leader stops extending
-it; the term in `l/term` rises with every takeover and never falls.  Every
+Owns this node's hold, its `Standing` and, while it leads, its `Reign`.  The
+keys `l/node/<name>` and `l/lead` are attached to the hold, so they vanish when
+their node stops extending it; the term in `l/term` rises with every takeover and never falls.  Every
 write of a leader is guarded by the version of `l/lead`, which does not change
 during a reign: a leader that was superseded cannot write.
 """
@@ -21,6 +21,7 @@
 log = logging.getLogger("leadership")
 
 LEAD_KEY = "l/lead"
+MEMBER_PREFIX = "l/node/"
 TERM_KEY = "l/term"
 DRIFT = 1.001  # twice the 0.05% that each of two steady clocks may be off
 
@@ -28,6 +29,7 @@
 class Standing(Enum):
     """What this node is; `_stand` makes every change."""
 
+    OUTSIDE = "outside"  # without a hold
     FOLLOWER = "follower"
     LEADER = "leader"
 
@@ -61,9 +63,11 @@
         store: StoreClient,
         mirror: Mirror,
         clock: Clock,
+        incarnation: str,
         on_change: Callable[[Reign | None], None],
     ) -> None:
         self._node = platform.node
+        self._member = {"zone": platform.zone, "incarnation": incarnation}
         self._length = operators.hold
         self._store = store
         self._mirror = mirror
@@ -72,36 +76,36 @@
         self._hold: int | None = None
         self._busy = False
         self.grace = answering_grace(platform, operators)
-        self.standing = Standing.FOLLOWER
+        self.standing = Standing.OUTSIDE
         self.reign: Reign | None = None
         mirror.listen(LEAD_KEY, self._lead_changed)
 
     @property
-    def leader(self) -> str | None:
-        """The node that leads, as far as this node knows."""
-        entry = self._mirror.get(LEAD_KEY)
-        return entry.value["node"] if entry else None
+    def members(self) -> dict[str, dict]:
+        """The nodes that are alive: their zones and incarnations."""
+        return {e.key.removeprefix(MEMBER_PREFIX): e.value for e in self._mirror.below(MEMBER_PREFIX)}
 
     @property
     def beat(self) -> timedelta:
         """How often `step` wants to be called."""
         return self._length / 4
 
-    def may_answer(self) -> bool:
-        """Whether a 200 to a worker cannot break a rule now."""
-        if self.reign is None or self._mirror.fresh_at is None:
-            return False
-        return self._clock.steady() - self._mirror.fresh_at < self.grace
+    def in_touch(self) -> bool:
+        """Whether a 200 to a worker of a block that this node holds cannot break a rule now."""
+        fresh_at = self._mirror.fresh_at
+        return fresh_at is not None and self._clock.steady() - fresh_at < self.grace
 
     def step(self) -> None:
-        """Extend the hold as leader; run for leader when nobody is."""
+        """Take or extend the hold; run for leader when nobody leads."""
         if self._busy or not self._mirror.loaded:
             return
         self._busy = True
         try:
-            if self.standing is Standing.LEADER:
+            if self.standing is Standing.OUTSIDE:
+                self._join()
+            else:
                 self._extend()
-            elif self._mirror.get(LEAD_KEY) is None:
+            if self.standing is Standing.FOLLOWER and self._mirror.get(LEAD_KEY) is None:
                 self._run_for_leader()
         except StoreDown as error:
             log.debug("no step: %s", error)
@@ -112,23 +116,34 @@
         try:
             self._store.extend_hold(self._hold, timeout=self._length / 2)
         except HoldLost:
-            self._stand(Standing.FOLLOWER, "hold ended")
+            self._stand(Standing.OUTSIDE, "hold ended")
+            self._join()
+
+    def _join(self) -> None:
+        """Become a member under a new hold."""
+        hold = self._store.take_hold(self._length)
+        key = MEMBER_PREFIX + self._node
+        outcome = self._store.commit({}, {key: self._member}, holds={key: hold})
+        if outcome.ending is Ending.APPLIED:
+            self._hold = hold
+            self._mirror.put(key, self._member, outcome.revision)
+            self._stand(Standing.FOLLOWER, "member")
 
     def _run_for_leader(self) -> None:
         entry = self._mirror.get(TERM_KEY)
         term = (entry.value if entry else 0) + 1
-        hold = self._store.take_hold(self._length)
         lead = {"node": self._node, "term": term}
         outcome = self._store.commit(
             {LEAD_KEY: 0, TERM_KEY: entry.version if entry else 0},
             {LEAD_KEY: lead, TERM_KEY: term},
-            holds={LEAD_KEY: hold},
+            holds={LEAD_KEY: self._hold},
         )
+        if outcome.ending is Ending.UNKNOWN:
+            # It may still make this node leader on paper: under a new hold,
+            # that ends by itself.
+            self._stand(Standing.OUTSIDE, "candidacy of unknown outcome")
         if outcome.ending is not Ending.APPLIED:
-            # A commit of unknown outcome may still make this node leader on
-            # paper; the hold is not extended, so that ends by itself.
             return
-        self._hold = hold
         self._mirror.put(TERM_KEY, term, outcome.revision)
         # The listener must already see a leader when the key comes in.
         self.reign = Reign(term, outcome.revision, self._clock.steady())
@@ -143,6 +158,8 @@
         """The one place where the standing changes."""
         self.standing = standing
         log.info("%s is now %s (%s)", self._node, standing.value, why)
-        if standing is Standing.FOLLOWER:
-            self.reign, self._hold = None, None
+        if standing is not Standing.LEADER:
+            self.reign = None
+        if standing is Standing.OUTSIDE:
+            self._hold = None
         self._on_change(self.reign)
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -1,4 +1,4 @@
-"""The workers that a leader serves."""
+"""The workers of the blocks that this node holds."""
 
 import logging
 from collections.abc import Callable
@@ -29,7 +29,7 @@
 
 @dataclass(slots=True)
 class Worker:
-    """One worker as the leader knows it from its reports."""
+    """One worker as its block's holder knows it from its reports."""
 
     machine: str
     address: str
@@ -70,19 +70,20 @@
         self.workers: dict[str, Worker] = {}
         self.bump_zones: set[str] = set()
         self.on_seen: Callable[[Report], None] = lambda report: None
+        self.images_of: Callable[[str], list[str]] = lambda machine: []
         self.on_exit: Callable[[Placement], None] = lambda placement: None
 
-    def clear(self) -> None:
-        """Start a reign: nothing that was known before counts."""
-        self.workers = {}
-        self.bump_zones = set()
+    def clear(self, zone: str) -> None:
+        """A block came or went: what was known of its workers before does not count."""
+        self.workers = {n: w for n, w in self.workers.items() if w.zone != zone}
+        self.bump_zones.discard(zone)
 
     # -- check-ins ----------------------------------------------------------
 
     def check_in(self, report: Report) -> tuple[int, bytes]:
         """Answer a worker's report: status and body."""
         token = self._blocks.token(report.zone)
-        if not self._leadership.may_answer() or token is None or report.token > token:
+        if not self._leadership.in_touch() or token is None or report.token > token:
             return 503, b"{}"
         now = self._clock.steady()
         self._take(report, now, direct=False)
@@ -97,15 +98,22 @@
         """Take in a report, unless a newer one is known already."""
         worker = self.workers.get(report.machine)
         if worker is None:
-            # Commands of earlier reigns may still be under way, under any
+            # Commands of earlier holders may still be under way, under any
             # token below ours.
             worker = Worker(report.machine, report.address, report.zone)
             worker.doubt = (self._blocks.token(report.zone) or 1) - 1
+            worker.images = dict.fromkeys(self.images_of(report.machine), 0.0)
             self.workers[report.machine] = worker
         if (report.session, report.sequence) <= (worker.session, worker.sequence):
             return
         new_session = report.session > worker.session
         worker.session, worker.sequence = report.session, report.sequence
+        ours = self._blocks.token(worker.zone) or 0
+        if new_session or worker.token < ours <= report.token:
+            # A new session's lease runs from its beginning, not from what was
+            # reckoned for the one before; and until the worker saw our token,
+            # an earlier holder may have renewed its lease up to this moment.
+            worker.answered_at = now
         worker.token = max(worker.token, report.token)
         worker.heard_at, worker.address = now, report.address
         worker.notice_at = None if report.notice is None else now + report.notice
@@ -221,7 +229,7 @@
         for machine, group in by_machine.items():
             worker = self.workers.get(machine)
             token = self._blocks.token(worker.zone) if worker else None
-            if token is None or not self._leadership.may_answer():
+            if token is None or not self._leadership.in_touch():
                 continue
             now = self._clock.steady()
             for placement in group:
@@ -257,7 +265,7 @@
         except Malformed as error:
             log.error("odd report from a worker: %s", error)
             return False
-        if self._leadership.reign is not None:
+        if self._blocks.mine(report.zone) is not None:
             self._take(report, self._clock.steady(), direct=True)
         return True
 
@@ -271,20 +279,19 @@
 
     # -- leases -------------------------------------------------------------
 
-    def lease_end(self, machine: str) -> timedelta | None:
+    def lease_end(self, machine: str, zone: str) -> timedelta | None:
         """When the worker's lease has certainly ended if nobody renews it from now on.
 
-        Until a worker has shown our token, the leader before us may have been
+        Until a worker has shown our token, the holder before us may have been
         renewing it for as long as it was allowed to without the store.
         """
-        reign = self._leadership.reign
-        if reign is None:
+        grant = self._blocks.mine(zone)
+        if grant is None:
             return None
         worker = self.workers.get(machine)
         renewed = worker.answered_at if worker else None
-        token = self._blocks.token(worker.zone) if worker else None
-        if worker is None or token is None or worker.token < token:
-            earlier = reign.began + self._leadership.grace
+        if worker is None or worker.token < grant.token:
+            earlier = grant.since + self._leadership.grace
             renewed = earlier if renewed is None else max(renewed, earlier)
         if renewed is None:
             renewed = worker.heard_at
@@ -294,7 +301,7 @@
         """Settle what stood on machines whose leases have certainly ended."""
         now = self._clock.steady()
         for machine, there in list(self._book.on_machine.items()):
-            end = self.lease_end(machine)
+            end = self.lease_end(machine, next(iter(there.values())).zone)
             if end is not None and now > end:
                 for placement in list(there.values()):
                     self.settle(placement, Cause.LOST, now)
@@ -303,5 +310,6 @@
         """The cloud confirmed that the machine is gone, and everything on it."""
         now = self._clock.steady()
         for placement in list(self._book.on_machine.get(machine, {}).values()):
-            self.settle(placement, Cause.LOST, now)
+            if self._blocks.mine(placement.zone) is not None:
+                self.settle(placement, Cause.LOST, now)
         self.workers.pop(machine, None)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -325,7 +325,7 @@
         transport = _Link(self, name)
         node = Node(
             self.platform(name), self.operators(), transport, transport, self.clock,
-            lambda function, *args: function(*args), lambda duration: None,
+            lambda function, *args: function(*args), lambda duration: None, random.Random(self.random.random()),
         )  # fmt: skip
         self.nodes[name] = node
         return node
@@ -506,8 +506,10 @@
         if beat % 5 == 0:
             node.leadership.step()
         for _ in range(4):
-            if not node.lead():
+            if not node.round():
                 break
+        if beat % 5 == 0:
+            node.watch.step()
         if beat % 10 == 0:
             node.fleet.step()
 
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -26,6 +26,10 @@
     return world.cloud.machines[machine][0]
 
 
+def zone_of(world: World, machine: str) -> str:
+    return world.cloud.machines[machine][0].zone
+
+
 # 1. Accept
 
 
@@ -168,11 +172,35 @@
 
 def test_every_grant_takes_a_higher_token_and_a_lower_one_is_refused():
     world = served()
-    before = {z: g.token for z, g in world.leader().blocks.grants.items()}
-    world.kill_node(world.leader().platform.node)
+    dead = world.leader().platform.node
+    before = {z: (g.holder, g.token) for z, g in world.leader().blocks.grants.items()}
+    world.kill_node(dead)
     assert world.run(10, lambda: world.leader() is not None)
-    after = {z: g.token for z, g in world.leader().blocks.grants.items()}
-    assert min(after.values()) > max(before.values())
+    world.run(1)
+    after = {z: (g.holder, g.token) for z, g in world.leader().blocks.grants.items()}
+    newest = max(token for _, token in before.values())
+    for zone, (holder, token) in after.items():
+        assert holder != dead
+        assert (holder, token) == before[zone] or token > newest
+
+
+def test_worker_refuses_a_holder_that_was_superseded():
+    world = served()
+    worker = next(w for w, _ in world.cloud.machines.values() if w.zone == "b")
+    old = next(n for n in world.nodes.values() if n.blocks.mine("b"))
+    report = orjson.dumps(worker.report())
+    world.cut_from_store = {old.platform.node}
+    assert world.run(10, lambda: any(n is not old and n.blocks.mine("b") for n in world.nodes.values()))
+    new = next(n for n in world.nodes.values() if n is not old and n.blocks.mine("b"))
+    status, answer = old.check_in(report)
+    assert status == 200, "it can't tell an outage from its own cut yet"
+    assert orjson.loads(answer)["helm"] < new.blocks.token("b")
+    old.intake.siblings_fresh = True
+    world.run(3)
+    assert old.check_in(report)[0] == 503, "a sibling has news of the store: this node is alone"
+    old.intake.siblings_fresh = False
+    world.run(20)
+    assert old.check_in(report)[0] != 200, "its grace without the store is over"
 
 
 # 6. A holder that lost touch
@@ -236,6 +264,24 @@
     assert answer.retry_after is not None
 
 
+def test_status_of_a_job_that_ends_while_its_version_is_compared():
+    """Found by an incident: the record was gone when the answer was put together."""
+    world = served()
+    world.submit("j-1", run_s=3.0)
+    node = world.nodes["holdfast-1"]
+    assert world.run(10, lambda: world.poll("j-1", node="holdfast-1") == "running")
+    compare = node.verifier.holds
+
+    def end_meanwhile(guards):
+        node.verifier.holds = compare
+        equal = compare(guards)
+        world.run(20, lambda: "j-1" not in node.book.jobs)
+        return equal
+
+    node.verifier.holds = end_meanwhile
+    assert world.poll("j-1", node="holdfast-1") == "done"
+
+
 # 8. Health
 
 
@@ -250,6 +296,61 @@
     assert intake.healthy()
 
 
+# Blocks
+
+
+def test_blocks_are_spread_over_the_live_nodes_and_follow_their_deaths():
+    world = served()
+    world.run(5)
+    assert sorted(len(n.blocks.my_zones()) for n in world.nodes.values()) == [1, 1, 1]
+    dead = next(n for n, node in world.nodes.items() if node is not world.leader())
+    world.kill_node(dead)
+    assert world.run(10, lambda: dead not in {g.holder for g in world.leader().blocks.grants.values()})
+    world.start_node(dead)
+    assert world.run(20, lambda: world.nodes[dead].blocks.my_zones() != [])
+    assert world.broken == []
+
+
+def test_services_restart_in_their_block_while_nobody_leads():
+    world = served(machines=9, capacity=9)
+    world.submit("j-1", 3, shape="service", urgency="prod", apart=True)
+    assert world.run(10, lambda: len(world.running("j-1")) == 3)
+    leader = world.leader()
+    frond, machine = next((f, m) for f, m in world.running("j-1") if leader.blocks.mine(zone_of(world, m)) is None)
+    world.kill_node(leader.platform.node)
+    for node in world.nodes.values():
+        if node is not None:
+            node.leadership._run_for_leader = lambda: None
+    worker = world.cloud.machines[machine][0]
+    worker.session += 1
+    worker.tasks.clear()
+    assert world.run(10, lambda: frond in dict(world.running("j-1")))
+    assert world.leader() is None
+    assert world.broken == []
+
+
+def test_gang_that_spans_blocks_starts_whole():
+    world = served(machines=3, capacity=3)
+    world.submit("j-1", 3, shape="ensemble", cpus=8.0, crew="blue", run_s=5.0)
+    assert world.run(10, lambda: len(world.running("j-1")) == 3)
+    assert world.run(30, lambda: world.poll("j-1") == "done")
+    assert world.broken == []
+
+
+def test_tasks_do_not_count_as_lost_when_their_worker_began_a_new_session_after_an_outage():
+    """Found by a random schedule: the lease of the session before was taken for the new one's."""
+    world = served()
+    world.submit("j-1", 2, shape="service", urgency="prod")
+    assert world.run(10, lambda: len(world.running("j-1")) == 2)
+    world.store.outage(True)
+    world.run(60)
+    assert world.running("j-1") == [], "the leases ended"
+    world.store.outage(False)
+    world.run(30)
+    assert len(world.running("j-1")) == 2
+    assert world.broken == []
+
+
 # Gangs
 
 
