Keep accelerator boxes free from the start; services stop savers at once

Ruled out: the boxes being returned too early (they were all up).

The cloud's trouble is logged once.

--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -6,11 +6,11 @@
 from datetime import timedelta
 
 from kelpjunction.clock import ZERO, Clock, seconds
-from kelpjunction.fleet.demand import Offer, Want, to_rent
+from kelpjunction.fleet.demand import Offer, Want, offers, price_per_slot, to_rent
 from kelpjunction.fleet.machines import MACHINE_PREFIX, Inventory, Machine, MachineState
 from kelpjunction.jobs.book import Book
 from kelpjunction.leadership import LEAD_KEY, Reign
-from kelpjunction.placement import type_fits
+from kelpjunction.placement import View, type_fits
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Ending, StoreClient
 from kelpjunction.store.mirror import Mirror
@@ -68,6 +68,8 @@
         self._gone: dict[str, timedelta] = {}
         self.wants: list[Want] = []
         self._scarce: dict[tuple, tuple[JobSpec, timedelta]] = {}
+        self._least: dict[tuple, tuple[int, float]] = {}
+        self._trouble = False
         self._parsed: tuple[int, dict[str, MachineType]] = (0, {})
 
     @property
@@ -115,8 +117,14 @@
                 self._read_list()
             self._repeat_requests()
             self._rent_some()
+            self._note_trouble(False)
         except NoCloud as error:
-            log.info("cloud: %s", error)
+            self._note_trouble(True, str(error))
+
+    def _note_trouble(self, trouble: bool, why: str = "its calls are answered again") -> None:
+        if trouble is not self._trouble:
+            self._trouble = trouble
+            log.info("cloud %s: %s", "has trouble" if trouble else "is back", why)
 
     def _call(self, method: str, path: str, body: bytes | None = None) -> Reply:
         wait = self._called_at + self._spacing - self._clock.steady()
@@ -242,14 +250,22 @@
         """Examples of the work that needs accelerators, of late."""
         return [spec for spec, _ in self._scarce.values()]
 
-    def costly(self, machine: Machine) -> bool:
-        """Whether the machine costs more than plain work is worth, where the price is an aim."""
-        type_ = self.catalog.get(machine.type)
-        if not self._platform.price_matters or type_ is None:
-            return False
-        price = (type_.spot_price if machine.spot else type_.price) / max(type_.cpus, 0.01)
-        least = min(min(t.spot_price, t.price) / max(t.cpus, 0.01) for t in self.catalog.values())
-        return price > self._operators.price_cap * least
+    @property
+    def plain_types(self) -> bool:
+        """Whether there are machines without accelerators at all."""
+        return any(t.gpus == 0 for t in self.catalog.values())
+
+    def worth_using(self, spec: JobSpec, view: View) -> bool:
+        """Whether a machine costs no more than the job's work is worth, where the price is an aim."""
+        if not self._platform.price_matters or spec.shape is not Shape.ARRAY:
+            return True
+        key = (spec.types, spec.zone, spec.cpus, spec.gpus, spec.memory, spec.spot)
+        known = self._least.get(key)
+        if known is None or known[0] != self._parsed[0]:
+            found = offers(spec, self.catalog)
+            least = min((price_per_slot(spec, self.catalog[o.type], o.spot) for o in found), default=0.0)
+            known = self._least[key] = (self._parsed[0], least)
+        return price_per_slot(spec, view.type, view.spot) <= known[1] * self._operators.price_cap
 
     def _live(self) -> list[Machine]:
         return [m for m in self.machines.values() if m.state in (MachineState.BOOTING, MachineState.UP)]
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -11,7 +11,7 @@
 from datetime import timedelta
 
 from kelpjunction.blocks import Blocks, block_key
-from kelpjunction.clock import ZERO, Clock
+from kelpjunction.clock import ZERO, Clock, seconds
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.jobs.book import CHUNK, SUM_PREFIX, Book, Handed, Job, Phase, Placement, ranges
 from kelpjunction.jobs.records import Records, run_key
@@ -222,10 +222,9 @@
         return bool(txns) or back
 
     def _order(self, handed: dict[str, list]) -> list[str]:
-        weights = self._operators.class_weights
         jobs = [self._book.jobs[ref] for ref in handed]
         return in_order(
-            (Waiting(j.spec.ref, weights[j.spec.shape.value], j.submitted, j.received) for j in jobs),
+            (Waiting(j.spec.ref, weight_of(j.spec, self._operators), j.submitted, j.received) for j in jobs),
             self._clock.utc(),
             self._operators.arrival_credit,
         )
@@ -238,6 +237,7 @@
         able = [v for v in views if v.name not in job.errors] or views
         if spec.shape is Shape.GANG:
             return self._choose_for_gang(job, ours, able, views)
+        able = [v for v in able if self._fleet.worth_using(spec, v)]
         starts: list[tuple[TaskId, View, int | None]] = []
         left: list[tuple[TaskId, Handed]] = []
         _, mates = spread_of(job)
@@ -397,12 +397,13 @@
         return True
 
     def _victim(self, placement: Placement, now: timedelta) -> Victim:
-        """What stopping this task would lose: the part of its run that is not saved."""
+        """What stopping this task would lose: its run since its last checkpoint, or what a gang's saving takes."""
         spec = placement.spec
-        ran = now - placement.running_since if placement.running_since is not None else ZERO
-        loss = min(ran, spec.save) if spec.checkpoint else ran
+        loss = now - placement.running_since if placement.running_since is not None else ZERO
+        if spec.checkpoint:
+            loss %= spec.checkpoint
         if spec.shape is Shape.GANG:
-            loss = (loss + spec.save) * spec.tasks
+            loss = (spec.save + seconds(1)) * spec.tasks
         return Victim(placement, placement.machine, spec.priority, spec.cpus, spec.gpus, spec.memory, loss)
 
     def _stop_victim(self, placement: Placement, for_: JobSpec) -> list[Placement]:
@@ -411,10 +412,16 @@
         log.info("stopping %s on %s: %s", placement.task, placement.machine, why)
         if job.spec.shape is Shape.GANG:
             return self._stop_all(job, job.spec.save, why)
-        self._roster.stop(placement, placement.spec.save if placement.spec.checkpoint else ZERO, why)
+        # No time to save: the service waits, and the last checkpoint is not far.
+        self._roster.stop(placement, ZERO, why)
         return [placement]
 
 
+def weight_of(spec: JobSpec, operators: Operators) -> float:
+    """How fast a waiting job's deficit grows: by its shape, and by its urgency within the shape."""
+    return operators.class_weights[spec.shape.value] * operators.urgency_weights[spec.priority.name.lower()]
+
+
 def may_be_stopped(spec: JobSpec) -> bool:
     """Whether services may stop this work: array tasks, and gangs that save."""
     return spec.shape is Shape.ARRAY or (spec.shape is Shape.GANG and bool(spec.checkpoint))
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -14,7 +14,7 @@
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.fleet.demand import Want
 from kelpjunction.jobs.book import CHUNK, RUN_PREFIX, Book, Chunk, Job
-from kelpjunction.jobs.holding import may_be_stopped
+from kelpjunction.jobs.holding import may_be_stopped, weight_of
 from kelpjunction.jobs.records import Records, run_key
 from kelpjunction.jobs.views import emptied, spread_of, view_of
 from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
@@ -141,9 +141,8 @@
         self._fleet.note_scarce()
         views = self._views()
         usage = self._usage()
-        weights = self._operators.class_weights
         order = in_order(
-            (Waiting(j.spec.ref, weights[j.spec.shape.value], j.submitted, j.received) for j in waiting),
+            (Waiting(j.spec.ref, weight_of(j.spec, self._operators), j.submitted, j.received) for j in waiting),
             self._clock.utc(),
             self._operators.arrival_credit,
         )
@@ -182,7 +181,8 @@
             return 0
         zones, mates = spread_of(job)
         refused = self._refused_zones(tasks)
-        chosen = place(spec, room, [v for v in views if v.zone not in refused], zones, mates)
+        able = [v for v in views if v.zone not in refused and self._fleet.worth_using(spec, v)]
+        chosen = place(spec, room, able, zones, mates)
         self._why(job, "" if len(chosen) >= room else "no machine has room")
         if chosen:
             usage.add(spec.team, spec.cpus, spec.gpus, len(chosen))
--- a/kelpjunction/jobs/views.py
+++ b/kelpjunction/jobs/views.py
@@ -9,6 +9,8 @@
 from kelpjunction.placement import View, allowed, type_fits
 from kelpjunction.wire.messages import MachineType, Shape
 
+KEPT_SHARE = 0.9
+
 
 def cached(images: Iterable[tuple[str, float]], cache_gb: float) -> set[str]:
     """Images a machine should still have: of these, most recently used first, as many as its cache takes."""
@@ -35,10 +37,12 @@
         type_.memory,
         images=images,
         shunned=bool(machine.failed_jobs),
-        costly=fleet.costly(machine),
     )
     for placement in placements:
         view.take(placement.spec)
+    if type_.gpus and not fleet.scarce and fleet.plain_types:
+        # What accelerator work needs is not known yet: leave it nearly all.
+        view.keep(type_.cpus * KEPT_SHARE, type_.gpus, type_.memory * KEPT_SHARE)
     for spec in fleet.scarce:
         if type_fits(spec, type_) and allowed(spec, type_, view.zone, view.spot):
             view.keep_for(spec)
--- a/kelpjunction/placement/__init__.py
+++ b/kelpjunction/placement/__init__.py
@@ -31,7 +31,6 @@
     tasks: int = 0
     shunned: bool = False
     held_for: str | None = None
-    costly: bool = False
     # What work that needs no accelerator must leave free here, since work
     # that needs one can go nowhere else.
     kept: bool = False
@@ -49,10 +48,14 @@
 
     def keep_for(self, spec: JobSpec) -> None:
         """Leave room here for one task of a job that has nowhere else to go."""
+        self.keep(spec.cpus, spec.gpus, spec.memory)
+
+    def keep(self, cpus: float, gpus: float, memory: float) -> None:
+        """Leave this much free here for work that needs accelerators, while they are free."""
         self.kept = True
-        if self.gpus + SLACK >= spec.gpus:
-            self.kept_cpus = max(self.kept_cpus, spec.cpus)
-            self.kept_memory = max(self.kept_memory, spec.memory)
+        if self.gpus + SLACK >= gpus:
+            self.kept_cpus = max(self.kept_cpus, cpus)
+            self.kept_memory = max(self.kept_memory, memory)
 
     def capacity(self, spec: JobSpec) -> int:
         """How many tasks of this job have room here."""
@@ -155,7 +158,7 @@
     brought up to date, as are the views.
     """
     chosen: list[View] = []
-    usable = [v for v in _usable(spec, views) if not (v.costly and spec.shape is Shape.ARRAY)]
+    usable = _usable(spec, views)
     while len(chosen) < count:
         usable = [v for v in usable if v.fits(spec) and zone_room(spec, zones, v.zone) > 0]
         if not usable:
--- a/kelpjunction/settings.py
+++ b/kelpjunction/settings.py
@@ -91,6 +91,7 @@
     """The operators' own settings; the schema holds the defaults."""
 
     class_weights: dict[str, float]
+    urgency_weights: dict[str, float]
     arrival_credit: timedelta
     round: timedelta
     hold: timedelta
@@ -205,6 +206,7 @@
         raise SettingsError(f"{path}: {error.message.removeprefix('data.')}") from error
     return Operators(
         class_weights=raw["class_weights"],
+        urgency_weights=raw["urgency_weights"],
         arrival_credit=seconds(raw["arrival_credit_s"]),
         round=seconds(raw["round_s"]),
         hold=seconds(raw["hold_s"]),
