--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -255,6 +255,18 @@
         """Whether there are machines without accelerators at all."""
         return any(t.gpus == 0 for t in self.catalog.values())
 
+    @property
+    def price_matters(self) -> bool:
+        return self._platform.price_matters
+
+    def costly(self, type_: MachineType, spot: bool) -> bool:
+        """Whether room here costs far more than the cheapest ordinary room, where the price is an aim."""
+        if not self.price_matters:
+            return False
+        least = min(t.price / max(t.cpus, 0.01) for t in self.catalog.values())
+        price = (type_.spot_price if spot else type_.price) / max(type_.cpus, 0.01)
+        return price > self._operators.price_cap * least and not any(type_fits(s, type_) for s in self.scarce)
+
     def worth_using(self, spec: JobSpec, view: View) -> bool:
         """Whether a machine costs no more than the job's work is worth, where the price is an aim."""
         if not self._platform.price_matters or spec.shape is not Shape.ARRAY:
