--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -214,7 +214,7 @@
 
     def _note_idle(self, now: timedelta) -> None:
         """Mark idle machines, and let go those that cost more than they are worth."""
-        kept = {n for n, t in self.catalog.items() if self._scarce_type(t)}
+        kept = {n for n, t in self.catalog.items() if any(type_fits(s, t) for s in self.scarce)}
         spare = self._room() - self._room_wanted()
         for machine in self.machines.values():
             if self._book.on_machine.get(machine.name):
@@ -227,7 +227,7 @@
             if machine.state is not MachineState.UP or machine.type in kept:
                 continue
             type_ = self.catalog.get(machine.type)
-            if type_ is None or (spare < type_.cpus and not self.costly(type_, machine.spot)):
+            if type_ is None or (not self._platform.price_matters and spare < type_.cpus):
                 continue
             idle = now - machine.idle_since
             if idle > self._operators.idle_return and now - machine.rented_at > MINIMUM_CHARGE:
@@ -255,15 +255,21 @@
         """Whether there are machines without accelerators at all."""
         return any(t.gpus == 0 for t in self.catalog.values())
 
+    @property
+    def price_matters(self) -> bool:
+        return self._platform.price_matters
+
     def costly(self, type_: MachineType, spot: bool) -> bool:
-        """Whether room here costs far more than the cheapest ordinary room, and is not what scarce work needs."""
+        """Whether room here costs far more than the cheapest ordinary room, where the price is an aim."""
+        if not self.price_matters:
+            return False
         least = min(t.price / max(t.cpus, 0.01) for t in self.catalog.values())
         price = (type_.spot_price if spot else type_.price) / max(type_.cpus, 0.01)
-        return price > self._operators.price_cap * least and not self._scarce_type(type_)
+        return price > self._operators.price_cap * least and not any(type_fits(s, type_) for s in self.scarce)
 
     def worth_using(self, spec: JobSpec, view: View) -> bool:
-        """Whether an array's work is worth what a machine costs."""
-        if spec.shape is not Shape.ARRAY:
+        """Whether a machine costs no more than the job's work is worth, where the price is an aim."""
+        if not self._platform.price_matters or spec.shape is not Shape.ARRAY:
             return True
         key = (spec.types, spec.zone, spec.cpus, spec.gpus, spec.memory, spec.spot)
         known = self._least.get(key)
@@ -277,16 +283,11 @@
         return [m for m in self.machines.values() if m.state in (MachineState.BOOTING, MachineState.UP)]
 
     def _room(self) -> float:
-        """CPUs that are there or on their way, scarce and costly machines left out."""
-        types = ((self.catalog.get(m.type), m.spot) for m in self._live())
-        return sum(t.cpus for t, spot in types if t and not self._scarce_type(t) and not self.costly(t, spot))
-
-    def _scarce_type(self, type_: MachineType) -> bool:
-        """Whether accelerator work of late needs machines of this type."""
-        return any(type_fits(spec, type_) for spec in self.scarce)
+        """CPUs that are there or on their way."""
+        return sum(self.catalog[m.type].cpus for m in self._live() if m.type in self.catalog)
 
     def _room_wanted(self) -> float:
-        """CPUs to have: what is in use or waits, and a share to spare."""
+        """CPUs to have where the price is no aim: what is in use or waits, and a share to spare."""
         used = sum(
             (job.spec.tasks - job.done_count()) * job.spec.cpus for job in self._book.jobs.values() if not job.cancelled
         )
@@ -301,31 +302,21 @@
         supply = Counter(m.zone for m in live)
         coming = Counter(m.type for m in live if m.state is MachineState.BOOTING)
         refused = set(self._refused)
-        cap = self._operators.price_cap
+        cap = self._operators.price_cap if self._platform.price_matters else None
         request = to_rent(self.wants, self.catalog, coming, refused, supply, most=4, cap=cap)
-        if request is None and sum(coming.values()) < 6:
-            request = to_rent(self._spare_wants(), self.catalog, {}, refused, supply, most=4, cap=cap)
+        if request is None and not self._platform.price_matters and sum(coming.values()) < 6:
+            request = to_rent(self._spare_wants(), self.catalog, {}, refused, supply, most=4)
         if request is None:
             return
-        offer, count, spec = request
+        offer, count = request
         self._requests += 1
         name = f"r-{self._term}-{self._requests}-{self._platform.node}"
-        log.info(
-            "asking for %d %s %s in %s: %s (%s, %g CPUs) has no room",
-            count,
-            "spot" if offer.spot else "ordinary",
-            offer.type,
-            offer.zone,
-            spec.ref,
-            spec.klass,
-            spec.cpus,
-        )
         intent = {"t": offer.type, "z": offer.zone, "s": offer.spot, "n": count}
         if self._write({RENT_PREFIX + name: intent}):
             self._ask_for(name, intent)
 
     def _spare_wants(self) -> list[Want]:
-        """Room to keep free, for services first: they can't use spot machines."""
+        """Room to keep free where the price is no aim, for services first: they can't use spot machines."""
         missing = self._room_wanted() - self._room()
         samples = {job.spec.spot: job.spec for job in self._book.jobs.values() if job.spec.shape is not Shape.GANG}
         return [
--- a/kelpjunction/fleet/demand.py
+++ b/kelpjunction/fleet/demand.py
@@ -64,7 +64,7 @@
     supply: dict[str, int],
     most: int,
     cap: float | None = None,
-) -> tuple[Offer, int, JobSpec] | None:
+) -> tuple[Offer, int] | None:
     """The next request for machines, or None.
 
     `coming` counts machines by type that boot already: room that is on its
@@ -92,5 +92,5 @@
         same = [o for o in open_ if o.type == first.type and o.spot == first.spot]
         best = min(same, key=lambda o: (supply.get(o.zone, 0), o.zone))
         slots = slots_on(want.spec, catalog[best.type])
-        return best, max(1, min(most, -(-left // slots))), want.spec
+        return best, max(1, min(most, -(-left // slots)))
     return None
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -27,7 +27,6 @@
 
 HAND_BACK_AFTER = timedelta(milliseconds=500)
 MOVE_EVERY = timedelta(seconds=2)
-MOVE_LOSS = timedelta(seconds=10)  # a moved replica is worth stopping what lost no more than this
 
 
 class Holding:
@@ -184,7 +183,7 @@
     def _move_replica(self) -> None:
         """Move one replica at a time off machines that cost far too much for it, to where its image is."""
         now = self._clock.steady()
-        if now - self._moved_at < MOVE_EVERY:
+        if not self._fleet.price_matters or now - self._moved_at < MOVE_EVERY:
             return
         self._moved_at = now
         views = self._views()
@@ -195,23 +194,10 @@
                     continue
                 cheap = [v for v in views if v.zone == dear.zone and not v.costly and spec.image in v.images]
                 if place(spec, 1, cheap, Counter(), Counter()):
-                    victims = []
-                else:
-                    lower = {
-                        n: [v for v in vs if v.priority < spec.priority and v.loss < MOVE_LOSS]
-                        for n, vs in self._victims(cheap, now).items()
-                    }
-                    choice = choose_victims(spec, cheap, lower, Counter())
-                    if choice is None:
-                        continue
-                    victims = choice[1]
-                # All at once: the replica is first in the order for the room
-                # that its victims leave.
-                log.info("moving %s off %s: cheaper room will do", placement.task, placement.machine)
-                told = [p for v in victims for p in self._stop_victim(v.placement, spec)]
-                self._roster.stop(placement, ZERO, "cheaper room will do")
-                self._roster.send([*told, placement])
-                return
+                    log.info("moving %s off %s: cheaper room is free", placement.task, placement.machine)
+                    self._roster.stop(placement, ZERO, "cheaper room is free")
+                    self._roster.send([placement])
+                    return
 
     def _stop_all(self, job: Job, grace: timedelta, why: str) -> list[Placement]:
         """Stop all of a job's tasks in our blocks."""
--- a/kelpjunction/jobs/views.py
+++ b/kelpjunction/jobs/views.py
@@ -38,6 +38,7 @@
         images=images,
         shunned=bool(machine.failed_jobs),
         costly=fleet.costly(type_, machine.spot),
+        pack=fleet.price_matters,
     )
     for placement in placements:
         view.take(placement.spec)
--- a/kelpjunction/placement/__init__.py
+++ b/kelpjunction/placement/__init__.py
@@ -32,6 +32,7 @@
     shunned: bool = False
     held_for: str | None = None
     costly: bool = False  # plain work should not stay here
+    pack: bool = True  # fill machines up, rather than spread replicas thin
     # What work that needs no accelerator must leave free here, since work
     # that needs one can go nowhere else.
     kept: bool = False
@@ -140,7 +141,7 @@
             fetch,
             waste(spec, view),
             mates[view.name],
-            -view.cpus,
+            view.cpus if view.pack else -view.cpus,
             view.name,
         )
     return (view.shunned, waste(spec, view), fetch, not view.spot, view.cpus, view.name)
--- a/kelpjunction/settings.py
+++ b/kelpjunction/settings.py
@@ -1,7 +1,7 @@
 """The platform's settings file (TOML) and the operators' own (JSON with a schema)."""
 
 import tomllib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from pathlib import Path
 
@@ -82,6 +82,8 @@
     workers: WorkerTimes
     store: StoreLimits
     cloud: CloudLimits
+    price_matters: bool
+    objectives: tuple[dict, ...] = field(default=())
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +135,7 @@
                 "state": _object(dict.fromkeys(("rps", "write_rps", "value_kb", "txn_ops"), _NUMBER)),
                 "cloud": _object(dict.fromkeys(("rps", "list_lag_s"), _NUMBER)),
             },
+            {"objectives": {"type": "array", "items": {"type": "object"}}},
         ),
     },
     {
@@ -156,6 +159,7 @@
         raise SettingsError(f"{path}: {error.message.removeprefix('data.')}") from error
     params = raw["params"]
     workers, store, cloud = params["workers"], params["state"], params["cloud"]
+    objectives = tuple(params.get("objectives", ()))
     return Platform(
         node=raw["node"],
         zone=raw["zone"],
@@ -175,6 +179,8 @@
         ),
         store=StoreLimits(store["rps"], store["write_rps"], int(store["value_kb"] * 1024), int(store["txn_ops"])),
         cloud=CloudLimits(cloud["rps"], seconds(cloud["list_lag_s"])),
+        price_matters=any(o.get("kind") in ("price", "useful") for o in objectives),
+        objectives=objectives,
     )
 
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -90,7 +90,7 @@
 def test_renting_takes_the_cheapest_and_counts_what_is_coming():
     catalog = {"small": SMALL, "gpu": GPU}
     want = [Want(job(driftwood=True), 8)]
-    offer, count, _ = to_rent(want, catalog, {}, set(), {"a": 2, "b": 1}, most=4)
+    offer, count = to_rent(want, catalog, {}, set(), {"a": 2, "b": 1}, most=4)
     assert (offer.type, offer.zone, offer.spot, count) == ("small", "b", True, 2)
     assert to_rent(want, catalog, {"small": 2}, set(), {}, most=4) is None
 
