--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -6,11 +6,11 @@
 from datetime import timedelta
 
 from kelpjunction.clock import ZERO, Clock, seconds
-from kelpjunction.fleet.demand import Offer, Want, offers, price_per_slot, to_rent
+from kelpjunction.fleet.demand import Offer, Want, to_rent
 from kelpjunction.fleet.machines import MACHINE_PREFIX, Inventory, Machine, MachineState
 from kelpjunction.jobs.book import Book
 from kelpjunction.leadership import LEAD_KEY, Reign
-from kelpjunction.placement import View, type_fits
+from kelpjunction.placement import type_fits
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Ending, StoreClient
 from kelpjunction.store.mirror import Mirror
@@ -68,7 +68,6 @@
         self._gone: dict[str, timedelta] = {}
         self.wants: list[Want] = []
         self._scarce: dict[tuple, tuple[JobSpec, timedelta]] = {}
-        self._least: dict[tuple, tuple[int, float]] = {}
         self._trouble = False
         self._parsed: tuple[int, dict[str, MachineType]] = (0, {})
 
@@ -227,7 +226,7 @@
             if machine.state is not MachineState.UP or machine.type in kept:
                 continue
             type_ = self.catalog.get(machine.type)
-            if type_ is None or (not self._platform.price_matters and spare < type_.cpus):
+            if type_ is None or spare < type_.cpus:
                 continue
             idle = now - machine.idle_since
             if idle > self._operators.idle_return and now - machine.rented_at > MINIMUM_CHARGE:
@@ -255,30 +254,6 @@
         """Whether there are machines without accelerators at all."""
         return any(t.gpus == 0 for t in self.catalog.values())
 
-    @property
-    def price_matters(self) -> bool:
-        return self._platform.price_matters
-
-    def costly(self, type_: MachineType, spot: bool) -> bool:
-        """Whether room here costs far more than the cheapest ordinary room, where the price is an aim."""
-        if not self.price_matters:
-            return False
-        least = min(t.price / max(t.cpus, 0.01) for t in self.catalog.values())
-        price = (type_.spot_price if spot else type_.price) / max(type_.cpus, 0.01)
-        return price > self._operators.price_cap * least and not any(type_fits(s, type_) for s in self.scarce)
-
-    def worth_using(self, spec: JobSpec, view: View) -> bool:
-        """Whether a machine costs no more than the job's work is worth, where the price is an aim."""
-        if not self._platform.price_matters or spec.shape is not Shape.ARRAY:
-            return True
-        key = (spec.types, spec.zone, spec.cpus, spec.gpus, spec.memory, spec.spot)
-        known = self._least.get(key)
-        if known is None or known[0] != self._parsed[0]:
-            found = offers(spec, self.catalog)
-            least = min((price_per_slot(spec, self.catalog[o.type], o.spot) for o in found), default=0.0)
-            known = self._least[key] = (self._parsed[0], least)
-        return price_per_slot(spec, view.type, view.spot) <= known[1] * self._operators.price_cap
-
     def _live(self) -> list[Machine]:
         return [m for m in self.machines.values() if m.state in (MachineState.BOOTING, MachineState.UP)]
 
@@ -287,7 +262,7 @@
         return sum(self.catalog[m.type].cpus for m in self._live() if m.type in self.catalog)
 
     def _room_wanted(self) -> float:
-        """CPUs to have where the price is no aim: what is in use or waits, and a share to spare."""
+        """CPUs to have: what is in use or waits, and a share to spare."""
         used = sum(
             (job.spec.tasks - job.done_count()) * job.spec.cpus for job in self._book.jobs.values() if not job.cancelled
         )
@@ -302,21 +277,30 @@
         supply = Counter(m.zone for m in live)
         coming = Counter(m.type for m in live if m.state is MachineState.BOOTING)
         refused = set(self._refused)
-        cap = self._operators.price_cap if self._platform.price_matters else None
-        request = to_rent(self.wants, self.catalog, coming, refused, supply, most=4, cap=cap)
-        if request is None and not self._platform.price_matters and sum(coming.values()) < 6:
+        request = to_rent(self.wants, self.catalog, coming, refused, supply, most=4)
+        if request is None and sum(coming.values()) < 6:
             request = to_rent(self._spare_wants(), self.catalog, {}, refused, supply, most=4)
         if request is None:
             return
-        offer, count = request
+        offer, count, spec = request
         self._requests += 1
         name = f"r-{self._term}-{self._requests}-{self._platform.node}"
+        log.info(
+            "asking for %d %s %s in %s: %s (%s, %g CPUs) has no room",
+            count,
+            "spot" if offer.spot else "ordinary",
+            offer.type,
+            offer.zone,
+            spec.ref,
+            spec.klass,
+            spec.cpus,
+        )
         intent = {"t": offer.type, "z": offer.zone, "s": offer.spot, "n": count}
         if self._write({RENT_PREFIX + name: intent}):
             self._ask_for(name, intent)
 
     def _spare_wants(self) -> list[Want]:
-        """Room to keep free where the price is no aim, for services first: they can't use spot machines."""
+        """Room to keep free, for services first: they can't use spot machines."""
         missing = self._room_wanted() - self._room()
         samples = {job.spec.spot: job.spec for job in self._book.jobs.values() if job.spec.shape is not Shape.GANG}
         return [
--- a/kelpjunction/fleet/demand.py
+++ b/kelpjunction/fleet/demand.py
@@ -27,12 +27,8 @@
     return (type_.spot_price if spot else type_.price) / slots_on(spec, type_)
 
 
-def offers(spec: JobSpec, catalog: dict[str, MachineType], cap: float | None = None) -> list[Offer]:
-    """What could be rented for this job, the cheapest room first.
-
-    With a `cap`, what costs more than that many times the cheapest room is
-    left out, unless nothing else fits the job.
-    """
+def offers(spec: JobSpec, catalog: dict[str, MachineType]) -> list[Offer]:
+    """What could be rented for this job, the cheapest room first."""
     found: list[tuple[float, Offer]] = []
     for type_ in catalog.values():
         if not type_fits(spec, type_):
@@ -41,9 +37,6 @@
             if spec.zone in (None, zone):
                 kinds = (False, True) if spec.spot else (False,)
                 found.extend((price_per_slot(spec, type_, k), Offer(type_.name, zone, k)) for k in kinds)
-    if cap is not None and found:
-        least = min(found)[0]
-        found = [(price, offer) for price, offer in found if price <= cap * least]
     return [offer for _, offer in sorted(found)]
 
 
@@ -63,8 +56,7 @@
     refused: set[Offer],
     supply: dict[str, int],
     most: int,
-    cap: float | None = None,
-) -> tuple[Offer, int] | None:
+) -> tuple[Offer, int, JobSpec] | None:
     """The next request for machines, or None.
 
     `coming` counts machines by type that boot already: room that is on its
@@ -74,7 +66,7 @@
     coming = dict(coming)
     for want in wants:
         left = want.tasks
-        choices = offers(want.spec, catalog, cap)
+        choices = offers(want.spec, catalog)
         for name in {o.type for o in choices}:
             slots = slots_on(want.spec, catalog[name])
             used = min(coming.get(name, 0), -(-left // slots))
@@ -92,5 +84,5 @@
         same = [o for o in open_ if o.type == first.type and o.spot == first.spot]
         best = min(same, key=lambda o: (supply.get(o.zone, 0), o.zone))
         slots = slots_on(want.spec, catalog[best.type])
-        return best, max(1, min(most, -(-left // slots)))
+        return best, max(1, min(most, -(-left // slots))), want.spec
     return None
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -26,7 +26,6 @@
 log = logging.getLogger("jobs")
 
 HAND_BACK_AFTER = timedelta(milliseconds=500)
-MOVE_EVERY = timedelta(seconds=2)
 
 
 class Holding:
@@ -51,7 +50,6 @@
         self._roster = roster
         self._fleet = fleet
         self._clock = clock
-        self._moved_at = ZERO
         self._roomless: dict[str, timedelta] = {}  # since when a handed job finds no room
 
     def gain(self, zone: str) -> None:
@@ -69,7 +67,6 @@
         if not self._records.write(results):
             return True
         self._stop_what_must()
-        self._move_replica()
         started = self._start_handed()
         return bool(results) or started
 
@@ -180,25 +177,6 @@
                     told.append(placement)
         self._roster.send(told)
 
-    def _move_replica(self) -> None:
-        """Move one replica at a time off machines that cost far too much for it, to where its image is."""
-        now = self._clock.steady()
-        if not self._fleet.price_matters or now - self._moved_at < MOVE_EVERY:
-            return
-        self._moved_at = now
-        views = self._views()
-        for dear in (v for v in views if v.costly):
-            for placement in self._on(dear):
-                spec = placement.spec
-                if placement.phase is not Phase.RUNNING or spec.shape is not Shape.SERVICE:
-                    continue
-                cheap = [v for v in views if v.zone == dear.zone and not v.costly and spec.image in v.images]
-                if place(spec, 1, cheap, Counter(), Counter()):
-                    log.info("moving %s off %s: cheaper room is free", placement.task, placement.machine)
-                    self._roster.stop(placement, ZERO, "cheaper room is free")
-                    self._roster.send([placement])
-                    return
-
     def _stop_all(self, job: Job, grace: timedelta, why: str) -> list[Placement]:
         """Stop all of a job's tasks in our blocks."""
         stopped = [p for p in job.placements() if p.live and self._blocks.mine(p.zone) is not None]
@@ -259,7 +237,6 @@
         able = [v for v in views if v.name not in job.errors] or views
         if spec.shape is Shape.GANG:
             return self._choose_for_gang(job, ours, able, views)
-        able = [v for v in able if self._fleet.worth_using(spec, v)]
         starts: list[tuple[TaskId, View, int | None]] = []
         left: list[tuple[TaskId, Handed]] = []
         _, mates = spread_of(job)
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -181,8 +181,7 @@
             return 0
         zones, mates = spread_of(job)
         refused = self._refused_zones(tasks)
-        able = [v for v in views if v.zone not in refused and self._fleet.worth_using(spec, v)]
-        chosen = place(spec, room, able, zones, mates)
+        chosen = place(spec, room, [v for v in views if v.zone not in refused], zones, mates)
         self._why(job, "" if len(chosen) >= room else "no machine has room")
         if chosen:
             usage.add(spec.team, spec.cpus, spec.gpus, len(chosen))
--- a/kelpjunction/jobs/views.py
+++ b/kelpjunction/jobs/views.py
@@ -37,8 +37,6 @@
         type_.memory,
         images=images,
         shunned=bool(machine.failed_jobs),
-        costly=fleet.costly(type_, machine.spot),
-        pack=fleet.price_matters,
     )
     for placement in placements:
         view.take(placement.spec)
--- a/kelpjunction/placement/__init__.py
+++ b/kelpjunction/placement/__init__.py
@@ -31,8 +31,6 @@
     tasks: int = 0
     shunned: bool = False
     held_for: str | None = None
-    costly: bool = False  # plain work should not stay here
-    pack: bool = True  # fill machines up, rather than spread replicas thin
     # What work that needs no accelerator must leave free here, since work
     # that needs one can go nowhere else.
     kept: bool = False
@@ -134,14 +132,13 @@
         # more than the start may take.
         return (
             view.shunned,
-            view.costly,
             view.spot,
             mates[view.name] > 0,
             zones[view.zone],
             fetch,
             waste(spec, view),
             mates[view.name],
-            view.cpus if view.pack else -view.cpus,
+            -view.cpus,
             view.name,
         )
     return (view.shunned, waste(spec, view), fetch, not view.spot, view.cpus, view.name)
--- a/kelpjunction/settings.py
+++ b/kelpjunction/settings.py
@@ -1,7 +1,7 @@
 """The platform's settings file (TOML) and the operators' own (JSON with a schema)."""
 
 import tomllib
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
 
@@ -82,8 +82,6 @@
     workers: WorkerTimes
     store: StoreLimits
     cloud: CloudLimits
-    price_matters: bool
-    objectives: tuple[dict, ...] = field(default=())
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +97,6 @@
     snapshot: timedelta
     idle_return: timedelta
     spare_share: float
-    price_cap: float
     gang_memory: timedelta
 
 
@@ -135,7 +132,6 @@
                 "state": _object(dict.fromkeys(("rps", "write_rps", "value_kb", "txn_ops"), _NUMBER)),
                 "cloud": _object(dict.fromkeys(("rps", "list_lag_s"), _NUMBER)),
             },
-            {"objectives": {"type": "array", "items": {"type": "object"}}},
         ),
     },
     {
@@ -159,7 +155,6 @@
         raise SettingsError(f"{path}: {error.message.removeprefix('data.')}") from error
     params = raw["params"]
     workers, store, cloud = params["workers"], params["state"], params["cloud"]
-    objectives = tuple(params.get("objectives", ()))
     return Platform(
         node=raw["node"],
         zone=raw["zone"],
@@ -179,8 +174,6 @@
         ),
         store=StoreLimits(store["rps"], store["write_rps"], int(store["value_kb"] * 1024), int(store["txn_ops"])),
         cloud=CloudLimits(cloud["rps"], seconds(cloud["list_lag_s"])),
-        price_matters=any(o.get("kind") in ("price", "useful") for o in objectives),
-        objectives=objectives,
     )
 
 
@@ -214,6 +207,5 @@
         snapshot=seconds(raw["snapshot_s"]),
         idle_return=seconds(raw["idle_return_s"]),
         spare_share=raw["spare_share"],
-        price_cap=raw["price_cap"],
         gang_memory=seconds(raw["gang_memory_s"]),
     )
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -315,7 +315,6 @@
             siblings=tuple(Sibling(f"holdfast-{i}", self.zones[i], f"10.0.0.{i}:8081") for i in others),
             cloud_address=CLOUD, store_address=STORE, zones=self.zones, teams={t.name: t for t in self.teams},
             workers=self.times, store=StoreLimits(250.0, 100.0, 8192, 12), cloud=CloudLimits(4.0, seconds(5)),
-            price_matters=False,
         )  # fmt: skip
 
     def operators(self) -> Operators:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -4,7 +4,7 @@
 from datetime import UTC, datetime, timedelta
 
 from kelpjunction.clock import ZERO
-from kelpjunction.fleet.demand import Want, offers, to_rent
+from kelpjunction.fleet.demand import Want, to_rent
 from kelpjunction.placement import Victim, View, choose_victims, place, place_gang
 from kelpjunction.queue import Usage, Waiting, in_order, over_limit
 from kelpjunction.settings import Team
@@ -90,11 +90,6 @@
 def test_renting_takes_the_cheapest_and_counts_what_is_coming():
     catalog = {"small": SMALL, "gpu": GPU}
     want = [Want(job(driftwood=True), 8)]
-    offer, count = to_rent(want, catalog, {}, set(), {"a": 2, "b": 1}, most=4)
+    offer, count, _ = to_rent(want, catalog, {}, set(), {"a": 2, "b": 1}, most=4)
     assert (offer.type, offer.zone, offer.spot, count) == ("small", "b", True, 2)
     assert to_rent(want, catalog, {"small": 2}, set(), {}, most=4) is None
-
-
-def test_price_cap_leaves_out_costly_types():
-    found = offers(job(), {"small": SMALL, "gpu": GPU}, cap=1.5)
-    assert {o.type for o in found} == {"small"}
