Share one weight among a team's waiting jobs beyond its guarantee

Cause: the design's known weak spot, a guest team's swarm of services that outruns all gangs.

Ruled out: sorting guaranteed work strictly first, which would leave the order of deficits on the ordinary path.

--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -19,7 +19,7 @@
 from kelpjunction.jobs.views import emptied, spread_of, view_of
 from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
 from kelpjunction.placement import Victim, View, choose_victims, place, place_gang
-from kelpjunction.queue import Usage, Waiting, in_order
+from kelpjunction.queue import Claim, Usage, Waiting, in_order, shares
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import StoreClient, Transaction
 from kelpjunction.store.mirror import Mirror
@@ -141,8 +141,12 @@
         self._fleet.note_scarce()
         views = self._views()
         usage = self._usage()
+        kept = shares((self._claim(j) for j in self._book.jobs.values() if not j.cancelled), self._platform.teams)
         order = in_order(
-            (Waiting(j.spec.ref, weight_of(j.spec, self._operators), j.submitted, j.received) for j in waiting),
+            (
+                Waiting(j.spec.ref, weight_of(j.spec, self._operators) * kept[j.spec.ref], j.submitted, j.received)
+                for j in waiting
+            ),
             self._clock.utc(),
             self._operators.arrival_credit,
         )
@@ -171,6 +175,10 @@
             self._records.write(txns)
         return bool(txns)
 
+    def _claim(self, job: Job) -> Claim:
+        spec, left = job.spec, job.spec.tasks - job.done_count()
+        return Claim(spec.ref, spec.team, job.submitted, spec.cpus * left, spec.gpus * left, job.waiting_count() > 0)
+
     def _hand_tasks(self, job: Job, views: list[View], usage: Usage, txns: list[Transaction]) -> int:
         """Hand over tasks of an array or service; returns how many found no room in any block."""
         spec = job.spec
--- a/kelpjunction/queue/__init__.py
+++ b/kelpjunction/queue/__init__.py
@@ -22,7 +22,47 @@
     weight: float
     submitted: datetime
     received: timedelta
-    in_guarantee: bool = True
+
+
+class Claim(NamedTuple):
+    """An unfinished job, and what all its unfinished tasks would hold at once."""
+
+    ref: str
+    team: str
+    submitted: datetime
+    cpus: float
+    gpus: float
+    waits: bool
+
+
+def shares(claims: Iterable[Claim], teams: dict[str, Team]) -> dict[str, float]:
+    """What part of its weight each waiting job keeps.
+
+    All of it while the job fits its team's guarantee together with the team's
+    earlier unfinished jobs.  Beyond that a team's waiting jobs share one
+    weight, so that a swarm of them can't outrun everybody else.
+    """
+    cpus: dict[str, float] = {}
+    gpus: dict[str, float] = {}
+    beyond: dict[str, list[str]] = {}
+    kept: dict[str, float] = {}
+    for claim in sorted(claims, key=lambda c: (c.submitted, c.ref)):
+        team = teams.get(claim.team)
+        if team is None:
+            continue
+        cpus[claim.team] = cpus.get(claim.team, 0.0) + claim.cpus
+        gpus[claim.team] = gpus.get(claim.team, 0.0) + claim.gpus
+        # A guarantee of 0 is none, and none is not exceeded.
+        inside = (not team.cpus or cpus[claim.team] <= team.cpus + SLACK) and (
+            not team.gpus or gpus[claim.team] <= team.gpus + SLACK
+        )
+        if claim.waits:
+            kept[claim.ref] = 1.0
+            if not inside:
+                beyond.setdefault(claim.team, []).append(claim.ref)
+    for refs in beyond.values():
+        kept.update(dict.fromkeys(refs, 1.0 / len(refs)))
+    return kept
 
 
 def deficit(job: Waiting, now: datetime, credit: timedelta) -> float:
