--- a/kelpjunction/clock.py
+++ b/kelpjunction/clock.py
@@ -10,7 +10,6 @@
 from typing import Protocol
 
 ZERO = timedelta()
-FAR = timedelta(days=36500)
 
 
 class Clock(Protocol):
--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -34,6 +34,7 @@
 COALESCE = timedelta(milliseconds=10)
 PAUSE_AFTER_TROUBLE = timedelta(milliseconds=250)
 PEER_EVERY = timedelta(seconds=1)
+WRITE_SHARE = 0.6  # of the store's rate of changes: the leader needs more than a third, seldom all nodes at once
 
 
 def sleep(duration: timedelta) -> None:
@@ -56,8 +57,7 @@
     ) -> None:
         self.platform = platform
         self.wake = Event()
-        share = 0.6
-        self.store = StoreClient(transport, platform.store_address, platform.store, clock, pause, share)
+        self.store = StoreClient(transport, platform.store_address, platform.store, clock, pause, WRITE_SHARE)
         self.mirror = Mirror(self.store, clock, follow_transport)
         self.book = Book()
         self.mirror.listen(LIVE, self.book.changed)
--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -25,6 +25,7 @@
 RENT_PREFIX = "l/rent/"
 CLOUD_TIMEOUT = timedelta(seconds=5)
 REFUSED_FOR = timedelta(seconds=20)
+AT_ONCE = 4  # machines in one request: small ones, so that zones and kinds take turns
 CATALOG_EVERY = timedelta(seconds=60)
 MINIMUM_CHARGE = timedelta(seconds=60)
 
@@ -277,9 +278,9 @@
         supply = Counter(m.zone for m in live)
         coming = Counter(m.type for m in live if m.state is MachineState.BOOTING)
         refused = set(self._refused)
-        request = to_rent(self.wants, self.catalog, coming, refused, supply, most=4)
+        request = to_rent(self.wants, self.catalog, coming, refused, supply, most=AT_ONCE)
         if request is None and sum(coming.values()) < 6:
-            request = to_rent(self._spare_wants(), self.catalog, {}, refused, supply, most=4)
+            request = to_rent(self._spare_wants(), self.catalog, {}, refused, supply, most=AT_ONCE)
         if request is None:
             return
         offer, count, spec = request
