--- a/tests/standins.py
+++ b/tests/standins.py
@@ -294,9 +294,11 @@
         self.told_cancelled: dict[str, timedelta] = {}
         self.told: dict[str, str] = {}
         self.finished: set[str] = set()
+        self.starts: list[str] = []
         self.broken: list[str] = []
         self.late: list[tuple[timedelta, int, Callable]] = []
         self._late_number = 0
+        self.held_for = (1.0, 25.0)
         self.cut_from_store: set[str] = set()
         self.filter: Callable[[str, str, str], str | None] = lambda source, target, path: None
         self.nodes: dict[str, Node | None] = {}
@@ -349,7 +351,7 @@
         if fate == "held":
             # Held back: the sender gives up, and it is carried out later.
             self._late_number += 1
-            when = self.clock.now + seconds(self.random.uniform(1, 25))
+            when = self.clock.now + seconds(self.random.uniform(*self.held_for))
             heapq.heappush(self.late, (when, self._late_number, lambda: handler(method, path, body)))
             raise NoAnswer("held back")
         if fate == "lost":
@@ -443,6 +445,7 @@
         """A worker starts a task: the moment to check the rules."""
         ref = frond.partition("/")[0]
         job = self.jobs[ref]
+        self.starts.append(frond)
         others = [m for f, m in self.running() if f == frond]
         if others:
             self.broken.append(f"ran_twice: {frond} on {worker.name} while on {others}")
@@ -479,6 +482,11 @@
 
     # -- time -----------------------------------------------------------------
 
+    def deliver_late(self) -> None:
+        """Carry out now everything that was held back."""
+        while self.late:
+            heapq.heappop(self.late)[2]()
+
     def run(self, duration: float, until: Callable[[], bool] | None = None) -> bool:
         """Let time pass in steps of 100 ms; whether `until` came true."""
         end = self.clock.now + seconds(duration)
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -79,6 +79,53 @@
     assert world.running() == []
 
 
+def handed(world: World, ref: str):
+    """Let the leader hand a job over while no holder starts anything; returns the holder and its rounds."""
+    rounds = {name: node.holding.round for name, node in world.nodes.items()}
+    for node in world.nodes.values():
+        node.holding.round = lambda: False
+    world.submit(ref, run_s=20.0)
+    assert world.run(5, lambda: all(list(n.book.jobs[ref].pending()) for n in world.nodes.values()))
+    zone = next(world.leader().book.jobs[ref].pending())[1].zone
+    holder = next(n for n in world.nodes.values() if n.blocks.mine(zone))
+    return holder, rounds[holder.platform.node]
+
+
+def test_launch_by_a_holder_that_has_not_heard_of_the_abort_fails():
+    world = served()
+    holder, launch = handed(world, "j-1")
+    other = next(n for n in world.nodes.values() if n is not holder)
+    assert other.intake.abort("j-1").status == 200
+    assert not holder.book.jobs["j-1"].cancelled, "its mirror lags"
+    launch()
+    assert world.starts == []
+    assert holder.book.jobs["j-1"].cancelled, "the conflict told it"
+
+
+def test_launch_by_a_holder_that_was_superseded_fails():
+    world = served()
+    holder, launch = handed(world, "j-1")
+    zone = next(holder.book.jobs["j-1"].pending())[1].zone
+    other = next(n for n in world.nodes.values() if n is not holder)
+    successor = (other.platform.node, other.leadership.members[other.platform.node]["incarnation"], 9)
+    assert other.blocks._write({zone: successor}, {})
+    assert holder.blocks.mine(zone), "its mirror lags"
+    launch()
+    assert world.starts == []
+
+
+def test_launch_that_is_applied_late_fails_once_it_was_fenced():
+    world = served()
+    holder, launch = handed(world, "j-1")
+    world.filter = only("/commit held")
+    launch()
+    assert world.late and holder.book.jobs["j-1"].placed_count() == 0
+    world.filter = lambda *_: None
+    assert holder.records.settled()
+    world.deliver_late()
+    assert world.store.data["l/run/j-1/0"][0]["p"] == []
+
+
 def test_launch_of_unknown_outcome_is_fenced_before_anything_else_starts():
     world = served()
     held = []
@@ -127,6 +174,44 @@
     assert world.broken == []
 
 
+def test_forget_waits_while_a_start_may_still_arrive():
+    world = served(machines=1, capacity=1)
+    for node in world.nodes.values():
+        node.blocks.raise_tokens = lambda zones: False
+    world.held_for = (600.0, 600.0)
+    world.filter = only("/commands held")
+    world.submit("j-1", run_s=1.0)
+    assert world.run(20, lambda: world.poll("j-1") == "done")
+    world.filter = lambda *_: None
+    world.run(6)
+    assert world.late
+    world.deliver_late()
+    assert world.starts == ["j-1/0"]
+
+
+def test_check_in_without_the_task_does_not_settle_it_while_its_start_may_still_arrive():
+    world = served(machines=1, capacity=1)
+    worker = next(iter(world.cloud.machines.values()))[0]
+    holder = next(n for n in world.nodes.values() if n.blocks.mine(worker.zone))
+    for node in world.nodes.values():
+        node.blocks.raise_tokens = lambda zones: False
+    worker.next_report = world.clock.now + seconds(60)
+    world.filter = only("/commands held")
+    world.submit("j-1", run_s=20.0)
+    assert world.run(2, lambda: holder.book.jobs["j-1"].placed_count() == 1)
+    holder.intake.abort("j-1")
+    world.run(0.3)
+    report = worker.report()
+    assert holder.check_in(orjson.dumps(report))[0] == 200
+    world.run(0.3)
+    assert holder.book.jobs["j-1"].placed_count() == 1, "the start may still arrive under this token"
+    del holder.blocks.raise_tokens
+    world.run(0.3)
+    report |= {"tally": report["tally"] + 1, "helm": holder.blocks.token(worker.zone)}
+    holder.check_in(orjson.dumps(report))
+    assert world.run(1, lambda: "j-1" not in holder.book.jobs), "a higher token rules that out"
+
+
 def test_old_report_does_not_undo_a_newer_one():
     world = served(machines=1, capacity=1)
     worker = next(iter(world.cloud.machines.values()))[0]
