--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,11 +3,14 @@
 from collections import Counter
 from datetime import UTC, datetime, timedelta
 
+from standins import SimClock
+
 from kelpjunction.clock import ZERO
 from kelpjunction.fleet.demand import Want, to_rent
 from kelpjunction.placement import Victim, View, choose_victims, place, place_gang
 from kelpjunction.queue import Claim, Usage, Waiting, in_order, over_limit, shares
 from kelpjunction.settings import Team
+from kelpjunction.store.client import Pacer
 from kelpjunction.wire.messages import MachineType, Priority
 from kelpjunction.wire.users import parse_job
 
@@ -109,3 +112,12 @@
     offer, count, _ = to_rent(want, catalog, {}, set(), {"a": 2, "b": 1}, most=4)
     assert (offer.type, offer.zone, offer.spot, count) == ("small", "b", True, 2)
     assert to_rent(want, catalog, {"small": 2}, set(), {}, most=4) is None
+
+
+def test_writes_are_paced_below_a_nodes_share_of_the_rate():
+    clock = SimClock()
+    pacer = Pacer(clock, rate=10.0)
+    assert pacer.delay(5) == ZERO, "half a second's worth may go at once"
+    assert pacer.delay(5) == timedelta(seconds=0.5)
+    clock.now += timedelta(seconds=1)
+    assert pacer.delay(5) == ZERO
