--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -11,9 +11,9 @@
 from gevent.pywsgi import WSGIServer
 
 from kelpjunction.blocks import BLOCK_PREFIX, Blocks
-from kelpjunction.clock import Clock, SystemClock, seconds
+from kelpjunction.clock import ZERO, Clock, SystemClock, seconds
 from kelpjunction.fleet.cloud import Fleet
-from kelpjunction.fleet.machines import MACHINE_PREFIX, Inventory
+from kelpjunction.fleet.machines import Inventory
 from kelpjunction.fleet.watch import Watch
 from kelpjunction.http import Application, PeerApplication, ask_peer
 from kelpjunction.intake import Intake
@@ -31,9 +31,11 @@
 
 log = logging.getLogger("daemon")
 
-COALESCE = timedelta(milliseconds=10)
+COALESCE = timedelta(milliseconds=20)
+LONGEST_PAUSE = timedelta(milliseconds=200)
 PAUSE_AFTER_TROUBLE = timedelta(milliseconds=250)
 PEER_EVERY = timedelta(seconds=1)
+REQUEST_SHARE = 0.3
 WRITE_SHARE = 0.6  # of the store's rate of changes: the leader needs more than a third, seldom all nodes at once
 
 
@@ -61,7 +63,9 @@
         self.mirror = Mirror(self.store, clock, follow_transport)
         self.book = Book()
         self.mirror.listen(LIVE, self.book.changed)
-        self.verifier = Verifier(self.store, spawn)
+        # What all nodes' watches and comparisons may take of the store's rate of requests, each.
+        self.request_rate = platform.store.rps * REQUEST_SHARE / (len(platform.siblings) + 1)
+        self.verifier = Verifier(self.store, spawn, pause, self.request_rate)
         incarnation = f"{random_source.getrandbits(64):016x}"
         self.leadership = Leadership(
             platform, operators, self.store, self.mirror, clock, incarnation, self._reign_changed
@@ -96,8 +100,9 @@
         )
         self.blocks.on_gain = self._gain
         self.blocks.on_loss = self.roster.clear
-        for prefix in (JOB_PREFIX, RUN_PREFIX, BLOCK_PREFIX, MACHINE_PREFIX):
+        for prefix in (JOB_PREFIX, RUN_PREFIX, BLOCK_PREFIX):
             self.mirror.listen(prefix, lambda key, value, version: self.wake.set())
+        self.inventory.on_change = self.wake.set
         self._begun: Reign | None = None
 
     def _reign_changed(self, reign: Reign | None) -> None:
@@ -135,7 +140,8 @@
             if not self.mirror.loaded or not self.records.settled():
                 return False
             again = self.holding.round()
-            self.watch.publish()
+            if self.watch.changed:
+                self.watch.publish()
             reign = self.leadership.reign
             if reign is not None:
                 if self._begun is not reign:
@@ -200,19 +206,24 @@
             gevent.spawn_later(self._random.uniform(0, 0.05), self.node.leadership.step)
 
     def _follow(self) -> None:
-        if not self.node.follow():
-            sleep(PAUSE_AFTER_TROUBLE)
+        """Follow, at a pace: each change ends a watch, and opening the next is a request too."""
+        began = self._clock.steady()
+        heard = self.node.follow()
+        least = seconds(1 / self.node.request_rate) if heard else PAUSE_AFTER_TROUBLE
+        sleep(max(ZERO, began + least - self._clock.steady()) if heard else least)
 
     def _lead(self) -> None:
         self.node.leadership.step()
         sleep(self.node.leadership.beat)
 
     def _rounds(self) -> None:
+        """A round on every event; a long one is followed by as long a pause, in which all else is served."""
         self.node.wake.wait(self._operators.round.total_seconds())
         self.node.wake.clear()
+        began = self._clock.steady()
         if self.node.round():
             self.node.wake.set()
-        sleep(COALESCE)
+        sleep(min(max(COALESCE, self._clock.steady() - began), LONGEST_PAUSE))
 
     def _cloud(self) -> None:
         self.node.fleet.step()
--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -217,7 +217,7 @@
         kept = {n for n, t in self.catalog.items() if any(type_fits(s, t) for s in self.scarce)}
         spare = self._room() - self._room_wanted()
         for machine in self.machines.values():
-            if self._book.on_machine.get(machine.name):
+            if machine.name in self._book.loads:
                 machine.idle_since = None
                 continue
             if machine.state is MachineState.FAULTY:
--- a/kelpjunction/fleet/machines.py
+++ b/kelpjunction/fleet/machines.py
@@ -47,19 +47,20 @@
     failed_jobs: set[str] = field(default_factory=set)
     silent_visits: int = 0
 
-    def become(self, state: MachineState, now: timedelta, why: str = "") -> None:
-        """The one place where a machine's state changes."""
+    def become(self, state: MachineState, now: timedelta, why: str = "") -> bool:
+        """The one place where a machine's state changes; whether it did."""
         if state is self.state or self.state is MachineState.GONE:
-            return
+            return False
         if self.state is MachineState.RETURNING and state is not MachineState.GONE:
-            return
+            return False
         if self.state is MachineState.FAULTY and state is not MachineState.RETURNING and state is not MachineState.GONE:
-            return
+            return False
         if why:
             log.info(
                 "machine %s (%s, %s): %s -> %s, %s", self.name, self.type, self.zone, self.state.value, state.value, why
             )
         self.state, self.since = state, now
+        return True
 
     @property
     def usable(self) -> bool:
@@ -86,6 +87,7 @@
         self._clock = clock
         self.machines: dict[str, Machine] = {}
         self.on_gone: Callable[[str], None] = lambda machine: None
+        self.on_change: Callable[[], None] = lambda: None  # a machine became usable or stopped being so
         mirror.listen(MACHINE_PREFIX, self._changed)
 
     def adopt(self, name: str, type_: str, zone: str, spot: bool, address: str) -> Machine:
@@ -113,8 +115,9 @@
         if self._blocks.mine(machine.zone) is None:
             # Its block's holder knows better than we do.
             machine.images = value["im"]
-            if machine.state is not MachineState.RETURNING:
+            if machine.state is not MachineState.RETURNING and machine.state is not state:
                 machine.state = state
+                self.on_change()
         elif state is MachineState.RETURNING:
             machine.become(state, self._clock.steady(), "as the leader decided")
 
--- a/kelpjunction/fleet/watch.py
+++ b/kelpjunction/fleet/watch.py
@@ -1,6 +1,7 @@
 """What a holder sees of its block's machines: up, silent, faulty; and tells the others."""
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -44,6 +45,7 @@
         self._clock = clock
         self._spawn = spawn
         self._published_at = ZERO
+        self.changed = False  # whether a machine's state is to be told at once
         roster.on_seen = self._seen
         roster.on_exit = self._exited
         roster.images_of = self._images_of
@@ -68,9 +70,12 @@
         machine.silent_visits = 0
         now = self._clock.steady()
         if report.notice is not None:
-            machine.become(MachineState.LEAVING, now, f"taken back in {report.notice.total_seconds():.0f} s")
+            became = machine.become(MachineState.LEAVING, now, f"taken back in {report.notice.total_seconds():.0f} s")
         else:
-            machine.become(MachineState.UP, now, "it reports")
+            became = machine.become(MachineState.UP, now, "it reports")
+        if became:
+            self.changed = True
+            self._inventory.on_change()
 
     def _exited(self, placement: Placement) -> None:
         """Weigh who is to blame for a failed task: its machine or its job."""
@@ -123,39 +128,59 @@
             return
         machine.silent_visits += 1
         now = self._clock.steady()
-        zone = [m for m in self._inventory.machines.values() if m.zone == machine.zone]
-        silent = sum(m.state is MachineState.SILENT for m in zone)
-        total = len(self._inventory.machines)
-        everywhere = sum(m.state is MachineState.SILENT for m in self._inventory.machines.values())
-        # Many at once look like a cut, not like machines that died: those
-        # keep their tasks until their leases end.
-        cut = (silent >= 3 and silent * 2 > len(zone)) or (everywhere >= 4 and everywhere * 2 > total)
+        cut = self._looks_cut(machine.zone)
         end = self._roster.lease_end(machine.name, machine.zone)
         over = end is not None and now > end + seconds(30)
         if machine.silent_visits >= 2 and (not cut or over):
             machine.become(MachineState.RETURNING, now, "it does not answer")
 
+    def _looks_cut(self, zone: str) -> bool:
+        """Whether many are silent at once: like a cut, not like machines that died; their leases are waited for."""
+        machines = self._inventory.machines.values()
+        there = sum(m.zone == zone for m in machines)
+        silent = Counter(m.zone for m in machines if m.state is MachineState.SILENT)
+        everywhere = silent.total()
+        return (silent[zone] >= 3 and silent[zone] * 2 > there) or (everywhere >= 4 and everywhere * 2 > len(machines))
+
     def publish(self) -> None:
-        """Write down machines whose state or images changed, guarded by their blocks' grants."""
+        """Write down machines whose state or images changed, guarded by their blocks' grants.
+
+        States first: they decide what is placed where.  Images only help to
+        choose, and have what the state service's rate leaves over.
+        """
+        self.changed = False
         now = self._clock.steady()
-        images_too = now - self._published_at >= IMAGES_EVERY
-        puts, guards = {}, {}
+        states: list[Machine] = []
+        images: list[Machine] = []
         for machine in self.mine():
             worker = self._roster.workers.get(machine.name)
             if worker is not None:
                 machine.images = list(worker.images)
-            record, stored = machine.record(), self._inventory.stored(machine.name)
-            if not machine.address or record == stored:
-                continue
-            if stored is not None and not images_too and record | {"im": None} == stored | {"im": None}:
+            if not machine.address:
                 continue
-            if len(puts) < self._store.limits.txn_ops:
-                puts[MACHINE_PREFIX + machine.name] = record
-                guards[MACHINE_PREFIX + machine.name] = self._mirror.version(MACHINE_PREFIX + machine.name)
-                guards[block_key(machine.zone)] = self._blocks.mine(machine.zone).version
-        if images_too:
+            stored = self._inventory.stored(machine.name)
+            if stored is None or machine.state.value != stored["st"] or machine.address != stored["a"]:
+                states.append(machine)
+            elif now - self._published_at >= IMAGES_EVERY and set(machine.images) != set(stored["im"]):
+                images.append(machine)
+        most = self._store.limits.txn_ops
+        if states:
+            self._write(states[:most])
+            self.changed = len(states) > most
+        elif images:
             self._published_at = now
-        if puts:
-            outcome = self._store.commit(guards, puts)
-            if outcome.ending is Ending.APPLIED:
-                self._mirror.put_outcome(puts, (), outcome.revision)
+            # Those not told for longest first.
+            images.sort(key=lambda m: self._mirror.version(MACHINE_PREFIX + m.name))
+            self._write(images[: min(most, self._store.spare_writes())])
+
+    def _write(self, machines: list[Machine]) -> None:
+        if not machines:
+            return
+        puts, guards = {}, {}
+        for machine in machines:
+            key = MACHINE_PREFIX + machine.name
+            puts[key], guards[key] = machine.record(), self._mirror.version(key)
+            guards[block_key(machine.zone)] = self._blocks.mine(machine.zone).version
+        outcome = self._store.commit(guards, puts)
+        if outcome.ending is Ending.APPLIED:
+            self._mirror.put_outcome(puts, (), outcome.revision)
--- a/kelpjunction/intake/__init__.py
+++ b/kelpjunction/intake/__init__.py
@@ -154,7 +154,7 @@
             if entry is not None:
                 # A cancellation is never taken back, so it needs no asking.
                 if not entry.value.get("cancelled") and not self._verifier.holds({key: entry.version}):
-                    self._refresh(key)
+                    self._mirror.refresh(key)
                 elif (job := self._book.jobs.get(ref)) is not None:
                     return Answer(200, wire.job_answer(ref, job.phase(), job.done_count(), job.placed_count()))
                 # Else it ended while this node was asking.
@@ -165,19 +165,9 @@
                 continue
             if self._verifier.holds({key: 0, end_key: 0}):
                 return None
-            self._refresh(key)
+            self._mirror.refresh(key)
         raise StoreDown("the job's record kept changing")
 
-    def _refresh(self, key: str) -> None:
-        """The mirror lags behind the store: read this one key."""
-        entry = self._store.get(key)
-        if entry is not None:
-            self._mirror.put(*entry)
-        else:
-            stale = self._mirror.get(key)
-            if stale is not None:
-                self._mirror.put(key, None, stale.version + 1)
-
     def remember(self, ref: str, end: str) -> None:
         """Keep a final answer; it never changes."""
         self._ended[ref] = JobPhase.DONE if end == "done" else JobPhase.CANCELLED
@@ -217,7 +207,7 @@
                 return Answer(200, wire.job_answer(ref, JobPhase.CANCELLED))
             if outcome.ending is not Ending.CONFLICT:
                 break
-            self._refresh(key)
+            self._mirror.refresh(key)
         return later("the cancellation could not be confirmed")
 
     # -- health -------------------------------------------------------------
--- a/kelpjunction/jobs/book.py
+++ b/kelpjunction/jobs/book.py
@@ -8,7 +8,8 @@
 costs.
 """
 
-from collections.abc import Iterator
+from collections import Counter
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 from enum import Enum
@@ -96,6 +97,15 @@
         self.placements: dict[int, Placement] = {}
         self.handed: dict[int, Handed] = {}
 
+    def pending(self) -> Iterator[tuple[int, Handed]]:
+        """Tasks that were handed over and not started yet."""
+        for i, handed in self.handed.items():
+            if i not in self.placements and not self.done >> i & 1:
+                yield i, handed
+
+    def counts(self) -> "Counts":
+        return Counts(self.done.bit_count(), len(self.placements), sum(1 for _ in self.pending()))
+
     def record(self) -> dict:
         """This chunk as it is stored."""
         return {
@@ -106,8 +116,16 @@
         }
 
 
+class Counts(NamedTuple):
+    """How many tasks are done, placed, and handed over but not started."""
+
+    done: int = 0
+    placed: int = 0
+    pending: int = 0
+
+
 class Job:
-    """A live job."""
+    """A live job.  Its counts are kept up to date by `take_chunk`, which makes every change of its chunks."""
 
     def __init__(self, spec: JobSpec, submitted: datetime, version: int, cancelled: bool) -> None:
         self.spec = spec
@@ -117,6 +135,7 @@
         self.chunks: dict[int, Chunk] = {}
         self.full: set[int] = set()
         self.sum_version = 0
+        self.counts = Counts()
         self._first_open = 0
         # The leader's own notes, rebuilt from snapshot and reports.
         self.received = ZERO
@@ -135,29 +154,61 @@
         for chunk in self.chunks.values():
             yield from chunk.placements.values()
 
+    def take_chunk(self, number: int, change: Callable[[Chunk], None]) -> None:
+        """Change a chunk, and the counts with it."""
+        chunk = self.chunks.setdefault(number, Chunk())
+        before = self._counted(number, chunk)
+        change(chunk)
+        if chunk.version == 0:
+            del self.chunks[number]
+        self._count(before, self._counted(number, chunk))
+
+    def take_sum(self, full: set[int], version: int) -> None:
+        """Learn which chunks were folded away because all their tasks are done."""
+        for number in sorted(full ^ self.full):
+            chunk = self.chunks.get(number) or Chunk()
+            before = self._counted(number, chunk)
+            self.full ^= {number}
+            self._count(before, self._counted(number, chunk))
+        self.sum_version = version
+
+    def _counted(self, number: int, chunk: Chunk) -> Counts:
+        counts = chunk.counts()
+        return counts._replace(done=self.chunk_size(number)) if number in self.full else counts
+
+    def _count(self, before: Counts, after: Counts) -> None:
+        self.counts = Counts(*(n - b + a for n, b, a in zip(self.counts, before, after, strict=True)))
+
     def pending(self) -> Iterator[tuple[TaskId, Handed]]:
         """Tasks that were handed to a block and not started yet."""
+        if not self.counts.pending:
+            return
         for number, chunk in self.chunks.items():
-            for i, handed in chunk.handed.items():
-                if i not in chunk.placements and not chunk.done >> i & 1:
-                    yield TaskId(self.spec.ref, number * CHUNK + i), handed
+            for i, handed in chunk.pending():
+                yield TaskId(self.spec.ref, number * CHUNK + i), handed
 
     def broken_gang(self) -> bool:
         """Whether some task of a gang is neither placed nor about to be."""
-        if self.spec.shape is not Shape.GANG or self.done_count():
-            return False
-        return self.placed_count() > 0 and self.placed_count() + sum(1 for _ in self.pending()) < self.spec.tasks
+        done, placed, pending = self.counts
+        return self.spec.shape is Shape.GANG and not done and placed > 0 and placed + pending < self.spec.tasks
 
     def placed_count(self) -> int:
-        return sum(len(c.placements) for c in self.chunks.values())
+        return self.counts.placed
 
     def done_count(self) -> int:
-        full = sum(self.chunk_size(n) for n in self.full)
-        return full + sum(c.done.bit_count() for n, c in self.chunks.items() if n not in self.full)
+        return self.counts.done
 
     def all_done(self) -> bool:
         return self.spec.shape is not Shape.SERVICE and self.done_count() >= self.spec.tasks
 
+    def over(self) -> bool:
+        """Whether nothing is left to do but to write down the end."""
+        if self.cancelled:
+            return self.placed_count() == 0
+        # One done task of a gang means that all are.
+        gang_done = self.spec.shape is Shape.GANG and self.done_count() > 0
+        return self.all_done() or (gang_done and self.placed_count() == 0)
+
     def waiting(self, most: int) -> list[TaskId]:
         """The first tasks that are neither done, placed nor handed over, at most so many."""
         found: list[TaskId] = []
@@ -178,8 +229,7 @@
 
     def waiting_count(self) -> int:
         """How many tasks are neither done, placed nor handed over."""
-        pending = sum(1 for _ in self.pending())
-        return self.spec.tasks - self.done_count() - self.placed_count() - pending
+        return self.spec.tasks - sum(self.counts)
 
     def phase(self) -> JobPhase:
         if self.cancelled:
@@ -204,12 +254,42 @@
     return found
 
 
+class Load:
+    """What stands on a machine: its placements, and what they take together."""
+
+    __slots__ = ("cpus", "gpus", "images", "memory", "placements")
+
+    def __init__(self) -> None:
+        self.cpus = self.gpus = self.memory = 0.0
+        self.images: Counter[str] = Counter()
+        self.placements: dict[TaskId, Placement] = {}
+
+    def add(self, placement: Placement, sign: int = 1) -> None:
+        spec = placement.spec
+        self.cpus += sign * spec.cpus
+        self.gpus += sign * spec.gpus
+        self.memory += sign * spec.memory
+        self.images[spec.image] += sign
+
+
+NO_LOAD = Load()
+
+
 class Book:
-    """All live jobs."""
+    """All live jobs, and indexes of them, so that a round costs what changed.
+
+    `_reindex` keeps the sets of jobs, `_put` and `_drop` what stands on machines.
+    """
 
     def __init__(self) -> None:
         self.jobs: dict[str, Job] = {}
-        self.on_machine: dict[str, dict[TaskId, Placement]] = {}
+        self.loads: dict[str, Load] = {}
+        self.waiting: set[str] = set()  # jobs with tasks that wait to be handed over
+        self.handed: set[str] = set()  # jobs with tasks that were handed to a block and not started
+        self.gangs: set[str] = set()
+        self.cancelled: set[str] = set()
+        self.over: set[str] = set()  # jobs whose end is to be written down
+        self.settled: dict[TaskId, Placement] = {}  # placements whose end is to be written down
         self._orphans: dict[str, dict[str, tuple[Any, int]]] = {}
 
     def changed(self, key: str, value: Any, version: int) -> None:
@@ -221,6 +301,7 @@
             job = self.jobs.get(ref)
             if job is not None:
                 self._part_changed(job, key, value, version)
+                self._reindex(job)
             elif value is not None:
                 # A listing by key order may bring tasks before their job.
                 self._orphans.setdefault(ref, {})[key] = (value, version)
@@ -234,48 +315,77 @@
                 for placement in list(job.placements()):
                     self._drop(placement)
                 del self.jobs[ref]
+                for index in (self.waiting, self.handed, self.gangs, self.cancelled, self.over):
+                    index.discard(ref)
             return
         cancelled = bool(value.get("cancelled"))
-        if job is not None:
-            job.version, job.cancelled = version, cancelled
-            return
-        submitted = datetime.fromtimestamp(value["at"], UTC)
-        job = self.jobs[ref] = Job(job_from_fields(value["spec"]), submitted, version, cancelled)
-        for key, (part, part_version) in self._orphans.pop(ref, {}).items():
-            self._part_changed(job, key, part, part_version)
+        if job is None:
+            submitted = datetime.fromtimestamp(value["at"], UTC)
+            job = self.jobs[ref] = Job(job_from_fields(value["spec"]), submitted, version, cancelled)
+            for key, (part, part_version) in self._orphans.pop(ref, {}).items():
+                self._part_changed(job, key, part, part_version)
+        job.version, job.cancelled = version, cancelled
+        self._reindex(job)
+
+    def _reindex(self, job: Job) -> None:
+        """Bring the indexes up to date after any change of a job."""
+        for index, belongs in (
+            (self.waiting, not job.cancelled and job.waiting_count() > 0),
+            (self.handed, not job.cancelled and job.counts.pending > 0),
+            (self.gangs, job.spec.shape is Shape.GANG),
+            (self.cancelled, job.cancelled),
+            (self.over, job.over()),
+        ):
+            (index.add if belongs else index.discard)(job.spec.ref)
 
     def _part_changed(self, job: Job, key: str, value: Any, version: int) -> None:
         if key.startswith(SUM_PREFIX):
-            job.sum_version = version
-            job.full = {n for a, b in (value or {"full": []})["full"] for n in range(a, b + 1)}
+            job.take_sum({n for a, b in (value or {"full": []})["full"] for n in range(a, b + 1)}, version)
             return
         number = int(key.rpartition("/")[2])
-        chunk = job.chunks.setdefault(number, Chunk())
+        job.take_chunk(number, lambda chunk: self._chunk_changed(job, number, chunk, value, version))
+
+    def _chunk_changed(self, job: Job, number: int, chunk: Chunk, value: Any, version: int) -> None:
         old = chunk.placements
         chunk.version = version if value is not None else 0
-        if value is None:
-            del job.chunks[number]
-            value = {"n": 1, "d": 0, "h": [], "p": []}
+        value = value or {"n": 1, "d": 0, "h": [], "p": []}
         chunk.next_attempt, chunk.done = value["n"], value["d"]
         chunk.handed = {row[0]: Handed(*row[1:]) for row in value["h"]}
         chunk.placements = {}
         for i, attempt, machine, session, zone in value["p"]:
             known = old.get(i)
             if known is None or known.attempt != attempt:
-                task = TaskId(job.spec.ref, number * CHUNK + i)
-                known = Placement(task, job.spec, attempt, machine, session, zone)
-                self.on_machine.setdefault(machine, {})[task] = known
+                known = Placement(TaskId(job.spec.ref, number * CHUNK + i), job.spec, attempt, machine, session, zone)
+                if i in old:
+                    self._drop(old[i])
+                self._put(known)
             chunk.placements[i] = known
         for i, placement in old.items():
-            if chunk.placements.get(i) is not placement:
+            if i not in chunk.placements:
                 self._drop(placement)
 
+    def _put(self, placement: Placement) -> None:
+        load = self.loads.setdefault(placement.machine, Load())
+        load.placements[placement.task] = placement
+        load.add(placement)
+
     def _drop(self, placement: Placement) -> None:
-        there = self.on_machine.get(placement.machine, {})
-        if there.get(placement.task) is placement:
-            del there[placement.task]
-            if not there:
-                del self.on_machine[placement.machine]
+        if self.settled.get(placement.task) is placement:
+            del self.settled[placement.task]
+        load = self.loads[placement.machine]
+        del load.placements[placement.task]
+        load.add(placement, -1)
+        if not load.placements:
+            # Sums of amounts drift in the last digits: an empty machine starts anew.
+            del self.loads[placement.machine]
+
+    def load(self, machine: str) -> Load:
+        """What stands on a machine, to be read only."""
+        return self.loads.get(machine, NO_LOAD)
+
+    def on(self, machine: str) -> dict[TaskId, Placement]:
+        """The placements on a machine, to be read only."""
+        return self.load(machine).placements
 
     def placement(self, task: TaskId) -> Placement | None:
         job = self.jobs.get(task.ref)
@@ -283,8 +393,8 @@
         return chunk.placements.get(task.index % CHUNK) if chunk else None
 
     def placements(self) -> Iterator[Placement]:
-        for there in self.on_machine.values():
-            yield from there.values()
+        for load in self.loads.values():
+            yield from load.placements.values()
 
     def forget_notes(self, zone: str) -> None:
         """A new holder starts from the records alone: what this node noted of the block before is stale."""
@@ -292,3 +402,4 @@
             if placement.zone == zone:
                 placement.phase, placement.running_since = Phase.PLACED, None
                 placement.cause, placement.seen, placement.inflight = None, False, 0
+                self.settled.pop(placement.task, None)
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -16,7 +16,7 @@
 from kelpjunction.jobs.book import CHUNK, SUM_PREFIX, Book, Handed, Job, Phase, Placement, ranges
 from kelpjunction.jobs.records import Records, run_key
 from kelpjunction.jobs.views import cached, emptied, spread_of, view_of
-from kelpjunction.placement import Victim, View, choose_victims, place, place_gang
+from kelpjunction.placement import Victim, View, make_room, place, place_gang
 from kelpjunction.queue import Waiting, in_order
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Transaction
@@ -25,6 +25,8 @@
 
 log = logging.getLogger("jobs")
 
+MOST_RESULTS = 24  # records written before what was handed over is started
+MOST_STARTS = 24
 HAND_BACK_AFTER = timedelta(milliseconds=500)
 
 
@@ -86,14 +88,16 @@
     # -- results ------------------------------------------------------------
 
     def _results(self) -> list[Transaction]:
-        """What must be written about settled placements."""
+        """What must be written about settled placements: services first, the rest as far as one round goes."""
         touched: dict[str, set[int]] = {}
-        for placement in self._book.placements():
-            if placement.phase is Phase.SETTLED and self._blocks.mine(placement.zone) is not None:
+        for placement in self._book.settled.values():
+            if self._blocks.mine(placement.zone) is not None:
                 touched.setdefault(placement.task.ref, set()).add(placement.task.index // CHUNK)
         txns: list[Transaction] = []
-        for ref, numbers in touched.items():
-            txns.extend(self._settle_job(self._book.jobs[ref], numbers))
+        for job in sorted(map(self._book.jobs.__getitem__, touched), key=lambda j: j.spec.shape is not Shape.SERVICE):
+            if len(txns) >= MOST_RESULTS:
+                break
+            txns.extend(self._settle_job(job, touched[job.spec.ref]))
         return txns
 
     def _settle_job(self, job: Job, numbers: set[int]) -> list[Transaction]:
@@ -158,18 +162,19 @@
     def _stop_what_must(self) -> None:
         """Stop tasks of cancelled jobs, of broken gangs, and on machines about to be taken."""
         told: list[Placement] = []
-        for job in self._book.jobs.values():
-            if job.cancelled:
-                told += self._stop_all(job, ZERO, "cancelled")
-            elif job.broken_gang():
+        for ref in self._book.cancelled:
+            told += self._stop_all(self._book.jobs[ref], ZERO, "cancelled")
+        for ref in self._book.gangs - self._book.cancelled:
+            job = self._book.jobs[ref]
+            if job.broken_gang():
                 told += self._stop_all(job, ZERO, "its gang is not whole")
-            elif job.spec.shape is Shape.GANG and not all(p.live for p in job.placements()):
+            elif not all(p.live for p in job.placements()):
                 told += self._stop_all(job, job.spec.save, "its gang is being stopped")
         now = self._clock.steady()
         for worker in self._roster.workers.values():
             if worker.notice_at is None:
                 continue
-            for placement in self._book.on_machine.get(worker.machine, {}).values():
+            for placement in self._book.on(worker.machine).values():
                 spec = placement.spec
                 margin = spec.save * 1.2 + self._platform.workers.report * 1.5
                 if placement.live and spec.checkpoint and worker.notice_at - now < margin:
@@ -190,8 +195,8 @@
         """Start what the leader handed to our blocks; whether anything was started or handed back."""
         now = self._clock.steady()
         handed: dict[str, list[tuple[TaskId, Handed]]] = {}
-        for job in self._book.jobs.values():
-            if not job.cancelled and now >= job.not_before:
+        for job in map(self._book.jobs.__getitem__, self._book.handed):
+            if now >= job.not_before:
                 ours = [(t, h) for t, h in job.pending() if self._blocks.mine(h.zone) is not None]
                 if ours:
                     handed[job.spec.ref] = ours
@@ -203,8 +208,12 @@
         txns: list[Transaction] = []
         starting: list[TaskId] = []
         roomless: list[tuple[Job, list[tuple[TaskId, Handed]]]] = []
+        more = False
         for ref in self._order(handed):
             job = self._book.jobs[ref]
+            if len(txns) >= MOST_STARTS and job.spec.shape is not Shape.SERVICE:
+                more = True
+                continue  # in the next round: what it writes now must not keep services waiting
             starts, left = self._choose(job, handed[ref], views)
             if starts:
                 txns += self._start_txns(job, starts)
@@ -219,7 +228,7 @@
             placed = [self._book.placement(task) for task in starting]
             self._roster.send([p for p in placed if p is not None and p.live])
         back = self._make_room(roomless, views)
-        return bool(txns) or back
+        return bool(txns) or back or more
 
     def _order(self, handed: dict[str, list]) -> list[str]:
         jobs = [self._book.jobs[ref] for ref in handed]
@@ -279,7 +288,7 @@
         return [], [] if held else ours
 
     def _on(self, view: View) -> list[Placement]:
-        return list(self._book.on_machine.get(view.name, {}).values())
+        return list(self._book.on(view.name).values())
 
     def _start_txns(self, job: Job, starts: list[tuple[TaskId, View, int | None]]) -> list[Transaction]:
         """Launch records, guarded by the job, the chunk and the blocks' grants."""
@@ -314,8 +323,7 @@
             if worker.notice_at is not None or now - worker.heard_at > silent_after:
                 continue
             images = cached(reversed(worker.images.items()), type_.cache_gb)
-            there = self._book.on_machine.get(machine.name, {}).values()
-            views.append(view_of(machine, type_, images, there, self._fleet))
+            views.append(view_of(machine, type_, images, self._book.load(machine.name), self._fleet))
         return views
 
     # -- making room ----------------------------------------------------------
@@ -382,17 +390,12 @@
             there = [v for v in views if v.zone == zone]
             count = sum(h.zone == zone for _, h in left)
             count -= len(place(spec, count, there, Counter(), mates))
-            for _ in range(count):
-                able = {n: [v for v in vs if v.priority < spec.priority] for n, vs in victims.items()}
-                choice = choose_victims(spec, there, able, Counter())
-                if choice is None:
-                    return False
-                view, chosen = choice
+            found = make_room(spec, count, there, victims, Counter())
+            for _, chosen in found:
                 for victim in chosen:
                     told += self._stop_victim(victim.placement, spec)
-                    victims[view.name] = [v for v in victims[view.name] if v.placement is not victim.placement]
-                    view.give_back(victim.placement.spec)
-                view.take(spec)
+            if len(found) < count:
+                return False
         return True
 
     def _victim(self, placement: Placement, now: timedelta) -> Victim:
@@ -403,7 +406,7 @@
             loss %= spec.checkpoint
         if spec.shape is Shape.GANG:
             loss = (spec.save + seconds(1)) * spec.tasks
-        return Victim(placement, placement.machine, spec.priority, spec.cpus, spec.gpus, spec.memory, loss)
+        return Victim(placement, spec, loss)
 
     def _stop_victim(self, placement: Placement, for_: JobSpec) -> list[Placement]:
         job = self._book.jobs[placement.task.ref]
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -18,7 +18,7 @@
 from kelpjunction.jobs.records import Records, run_key
 from kelpjunction.jobs.views import emptied, spread_of, view_of
 from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
-from kelpjunction.placement import Victim, View, choose_victims, place, place_gang
+from kelpjunction.placement import Victim, View, make_room, place, place_gang
 from kelpjunction.queue import Claim, Usage, Waiting, in_order, shares
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import StoreClient, Transaction
@@ -29,6 +29,7 @@
 
 SNAPSHOT_PREFIX = "s/deficit/"
 MOST_AT_ONCE = 512  # tasks of one job handed over in one round
+MOST_WRITES = 24  # records of arrays and gangs handed over in one round
 REFUSED_FOR = timedelta(seconds=2)
 MOVE_GANG_AFTER = timedelta(seconds=2)
 
@@ -89,7 +90,7 @@
         types = self._fleet.catalog.values()
         zones = sorted({*self._platform.zones, *(z for t in types for z in t.zones)})
         self._blocks.assign(self._reign, zones, self._leadership.members)
-        over = [self._records.ending(j) for j in self._book.jobs.values() if self._over(j)]
+        over = [self._records.ending(self._book.jobs[ref]) for ref in sorted(self._book.over)]
         if not self._records.write(over):
             return True
         self._sweep()
@@ -98,14 +99,6 @@
         self._snapshot()
         return bool(over) or handed
 
-    def _over(self, job: Job) -> bool:
-        """Whether nothing is left to do but to write down the end."""
-        if job.cancelled:
-            return job.placed_count() == 0
-        # One done task of a gang means that all are.
-        gang_done = job.spec.shape is Shape.GANG and job.done_count() > 0
-        return job.all_done() or (gang_done and job.placed_count() == 0)
-
     def _sweep(self) -> None:
         """Delete chunks that ended jobs left behind because a transaction has limits."""
         if not self._records.left_over:
@@ -133,8 +126,8 @@
 
     def _hand_over(self) -> bool:
         """Hand jobs to blocks in the order of their deficits while room lasts; whether any was handed."""
-        waiting = [j for j in self._book.jobs.values() if not j.cancelled and j.waiting_count() > 0]
-        held_back = [j for j in self._book.jobs.values() if self._stuck_gang(j)]
+        waiting = [self._book.jobs[ref] for ref in self._book.waiting]
+        held_back = [self._book.jobs[ref] for ref in self._book.gangs & self._book.handed if self._stuck(ref)]
         self._fleet.wants = []
         if not waiting and not held_back:
             return False
@@ -156,13 +149,16 @@
             txns += self._move_gang(job, views)
             unplaced.append((job, job.spec.tasks))
         topped = bool(held_back)
+        full: set[tuple] = set()
         for ref in order:
             job = self._book.jobs[ref]
+            if len(txns) >= MOST_WRITES and job.spec.shape is not Shape.SERVICE:
+                continue  # in the next round: what it writes now must not keep services waiting
             if job.spec.shape is Shape.GANG:
                 left = self._hand_gang(job, views, usage, txns, at_top=not topped)
                 topped = topped or left > 0
             else:
-                left = self._hand_tasks(job, views, usage, txns)
+                left = self._hand_tasks(job, views, usage, txns, full)
             if left:
                 unplaced.append((job, left))
         # One write a round for each job: what was handed in part gets its rest in the next.
@@ -179,17 +175,27 @@
         spec, left = job.spec, job.spec.tasks - job.done_count()
         return Claim(spec.ref, spec.team, job.submitted, spec.cpus * left, spec.gpus * left, job.waiting_count() > 0)
 
-    def _hand_tasks(self, job: Job, views: list[View], usage: Usage, txns: list[Transaction]) -> int:
-        """Hand over tasks of an array or service; returns how many found no room in any block."""
+    def _hand_tasks(self, job: Job, views: list[View], usage: Usage, txns: list[Transaction], full: set[tuple]) -> int:
+        """Hand over tasks of an array or service; returns how many found no room in any block.
+
+        `full` has the needs that found no room earlier in this round: room
+        only shrinks, so whoever needs the same is not tried again.
+        """
         spec = job.spec
         tasks = job.waiting(MOST_AT_ONCE)
         room = usage.room(spec.team, spec.cpus, spec.gpus, len(tasks))
         if room == 0:
             self._why(job, "its team is at its limit")
             return 0
-        zones, mates = spread_of(job)
-        refused = self._refused_zones(tasks)
-        chosen = place(spec, room, [v for v in views if v.zone not in refused], zones, mates)
+        needs = (spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory)
+        chosen: list[View] = []
+        if needs not in full:
+            zones, mates = spread_of(job)
+            refused = self._refused_zones(tasks)
+            able = [v for v in views if v.zone not in refused] if refused else views
+            chosen = place(spec, room, able, zones, mates)
+            if len(chosen) < room and not (refused or spec.spread or spec.one_zone):
+                full.add(needs)
         self._why(job, "" if len(chosen) >= room else "no machine has room")
         if chosen:
             usage.add(spec.team, spec.cpus, spec.gpus, len(chosen))
@@ -246,9 +252,10 @@
             usage.add(spec.team, spec.cpus, spec.gpus, spec.tasks)
             txns += self._hand_txns(job, self._gang_rows(job, picked))
 
-    def _stuck_gang(self, job: Job) -> bool:
+    def _stuck(self, ref: str) -> bool:
         """Whether a gang was handed to a block and found no room there yet."""
-        if job.spec.shape is not Shape.GANG or job.cancelled or job.placed_count():
+        job = self._book.jobs[ref]
+        if job.placed_count():
             return False
         first = next(job.pending(), None)
         if first is None:
@@ -295,12 +302,11 @@
     def _usage(self) -> Usage:
         usage = Usage(self._platform.teams)
         for job in self._book.jobs.values():
-            count = job.placed_count() + sum(1 for _ in job.pending())
-            usage.add(job.spec.team, job.spec.cpus, job.spec.gpus, count)
+            usage.add(job.spec.team, job.spec.cpus, job.spec.gpus, job.counts.placed + job.counts.pending)
         return usage
 
     def _on(self, view: View) -> list:
-        return list(self._book.on_machine.get(view.name, {}).values())
+        return list(self._book.on(view.name).values())
 
     def _views(self) -> list[View]:
         """All usable machines of blocks that have a holder, less what is on them or on its way to them."""
@@ -311,14 +317,16 @@
             type_ = catalog.get(machine.type)
             if type_ is None or not machine.usable or self._blocks.holder(machine.zone) not in members:
                 continue
-            there = self._book.on_machine.get(machine.name, {}).values()
-            views.append(view_of(machine, type_, set(machine.images), there, self._fleet))
-        for job in self._book.jobs.values():
-            pending = Counter(h.zone for _, h in job.pending())
-            if job.spec.shape is Shape.GANG and self._stuck_gang(job):
+            views.append(view_of(machine, type_, machine.images, self._book.load(machine.name), self._fleet))
+        by_zone: dict[str, list[View]] = {}
+        for view in views:
+            by_zone.setdefault(view.zone, []).append(view)
+        for ref in self._book.handed:
+            job = self._book.jobs[ref]
+            if ref in self._book.gangs and self._stuck(ref):
                 continue
-            for zone, count in pending.items():
-                place(job.spec, count, [v for v in views if v.zone == zone], Counter(), Counter())
+            for zone, count in Counter(h.zone for _, h in job.pending()).items():
+                place(job.spec, count, by_zone.get(zone, ()), Counter(), Counter())
         return views
 
     def _hand_where_others_may_stop(
@@ -327,33 +335,17 @@
         """Hand services without room to blocks where array tasks or gangs may be stopped for them."""
         if not services:
             return []
-        victims = {
-            v.name: [
-                Victim(p, v.name, p.spec.priority, p.spec.cpus, p.spec.gpus, p.spec.memory, ZERO)
-                for p in self._on(v)
-                if may_be_stopped(p.spec)
-            ]
-            for v in views
-        }
+        victims = {v.name: [Victim(p, p.spec, ZERO) for p in self._on(v) if may_be_stopped(p.spec)] for v in views}
         txns: list[Transaction] = []
         for job, count in services:
             spec = job.spec
             zones, _ = spread_of(job)
             tasks = job.waiting(MOST_AT_ONCE)
             refused = self._refused_zones(tasks)
-            rows: list[tuple[TaskId, tuple]] = []
-            for task in tasks[: usage.room(spec.team, spec.cpus, spec.gpus, count)]:
-                able = {n: [v for v in vs if v.priority < spec.priority] for n, vs in victims.items()}
-                choice = choose_victims(spec, [v for v in views if v.zone not in refused], able, zones)
-                if choice is None:
-                    break
-                view, chosen = choice
-                for victim in chosen:
-                    victims[view.name].remove(victim)
-                    view.give_back(victim.placement.spec)
-                view.take(spec)
-                zones[view.zone] += 1
-                rows.append((task, (view.zone,)))
+            room = usage.room(spec.team, spec.cpus, spec.gpus, min(count, len(tasks)))
+            able = [v for v in views if v.zone not in refused]
+            found = make_room(spec, room, able, victims, zones)
+            rows = [(task, (view.zone,)) for task, (view, _) in zip(tasks, found, strict=False)]
             if rows:
                 usage.add(spec.team, spec.cpus, spec.gpus, len(rows))
                 txns += self._hand_txns(job, rows)
--- a/kelpjunction/jobs/records.py
+++ b/kelpjunction/jobs/records.py
@@ -8,7 +8,7 @@
 """
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 from kelpjunction.jobs.book import END_PREFIX, JOB_PREFIX, RUN_PREFIX, SUM_PREFIX, Book, Chunk, Job
@@ -66,7 +66,8 @@
                 continue
             log.debug("transaction %s: %s", outcome.ending.value, ", ".join(outcome.failed))
             if outcome.ending is Ending.CONFLICT:
-                self._reread(outcome.failed or txn.guards)
+                for key in outcome.failed or txn.guards:
+                    self._mirror.refresh(key)
             elif outcome.ending is Ending.UNKNOWN:
                 log.info("transaction of unknown outcome: %s", ", ".join(txn.puts))
                 self._doubtful.update(txn.guards)
@@ -97,17 +98,6 @@
                 size = more
         return merged
 
-    def _reread(self, keys: Iterable[str]) -> None:
-        """Take in what the store has for these keys."""
-        for key in keys:
-            entry = self._store.get(key)
-            if entry is not None:
-                self._mirror.put(*entry)
-            elif self._mirror.get(key) is not None:
-                # Gone: the follow will say so, with the revision.
-                self._mirror.load()
-                return
-
     def settled(self) -> bool:
         """Make sure that transactions of unknown outcome are applied by now or never will be.
 
--- a/kelpjunction/jobs/views.py
+++ b/kelpjunction/jobs/views.py
@@ -1,11 +1,11 @@
 """Machines as placement sees them, with what stands on them taken off."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.fleet.machines import Machine
-from kelpjunction.jobs.book import Job, Placement
+from kelpjunction.jobs.book import Job, Load, Placement
 from kelpjunction.placement import View, allowed, type_fits
 from kelpjunction.wire.messages import MachineType, Shape
 
@@ -23,23 +23,21 @@
     return kept
 
 
-def view_of(
-    machine: Machine, type_: MachineType, images: set[str], placements: Iterable[Placement], fleet: Fleet
-) -> View:
+def view_of(machine: Machine, type_: MachineType, images: Container[str], load: Load, fleet: Fleet) -> View:
     """One machine with what is free on it now."""
     view = View(
         machine.name,
         type_,
         machine.zone,
         machine.spot,
-        type_.cpus,
-        type_.gpus,
-        type_.memory,
+        type_.cpus - load.cpus,
+        type_.gpus - load.gpus,
+        type_.memory - load.memory,
         images=images,
+        arriving={image for image, n in load.images.items() if n} if load.placements else set(),
+        tasks=len(load.placements),
         shunned=bool(machine.failed_jobs),
     )
-    for placement in placements:
-        view.take(placement.spec)
     if type_.gpus and not fleet.scarce and fleet.plain_types:
         # What accelerator work needs is not known yet: leave it nearly all.
         view.keep(type_.cpus * KEPT_SHARE, type_.gpus, type_.memory * KEPT_SHARE)
--- a/kelpjunction/leadership/__init__.py
+++ b/kelpjunction/leadership/__init__.py
@@ -78,12 +78,16 @@
         self.grace = answering_grace(platform, operators)
         self.standing = Standing.OUTSIDE
         self.reign: Reign | None = None
+        self.members: dict[str, dict] = {}  # the nodes that are alive: their zones and incarnations
         mirror.listen(LEAD_KEY, self._lead_changed)
-
-    @property
-    def members(self) -> dict[str, dict]:
-        """The nodes that are alive: their zones and incarnations."""
-        return {e.key.removeprefix(MEMBER_PREFIX): e.value for e in self._mirror.below(MEMBER_PREFIX)}
+        mirror.listen(MEMBER_PREFIX, self._member_changed)
+
+    def _member_changed(self, key: str, value: dict | None, version: int) -> None:
+        name = key.removeprefix(MEMBER_PREFIX)
+        if value is None:
+            self.members.pop(name, None)
+        else:
+            self.members[name] = value
 
     @property
     def beat(self) -> timedelta:
--- a/kelpjunction/placement/__init__.py
+++ b/kelpjunction/placement/__init__.py
@@ -4,8 +4,9 @@
 views it was given, which are its caller's scratch copies.
 """
 
+import heapq
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Any, NamedTuple
@@ -26,7 +27,7 @@
     cpus: float
     gpus: float
     memory: float
-    images: set[str] = field(default_factory=set)
+    images: Container[str] = ()
     arriving: set[str] = field(default_factory=set)
     tasks: int = 0
     shunned: bool = False
@@ -59,11 +60,16 @@
 
     def capacity(self, spec: JobSpec) -> int:
         """How many tasks of this job have room here."""
+        guest = spec.gpus <= 0
         room = 1_000_000
-        for free, each in ((self.cpus, spec.cpus), (self.gpus, spec.gpus), (self.memory, spec.memory)):
+        for free, each in (
+            (self.cpus - (self.kept_cpus if guest else 0.0), spec.cpus),
+            (self.gpus, spec.gpus),
+            (self.memory - (self.kept_memory if guest else 0.0), spec.memory),
+        ):
             if each > 0:
                 room = min(room, int((free + SLACK) / each))
-        return room
+        return max(0, room)
 
     def take(self, spec: JobSpec, count: int = 1) -> None:
         self.cpus -= spec.cpus * count
@@ -124,54 +130,96 @@
     return view.type.gpus
 
 
-def _score(spec: JobSpec, view: View, zones: Counter, mates: Counter) -> tuple:
-    """The smaller the better."""
-    fetch = round(fetch_cost(spec, view), 1)
-    if spec.shape is Shape.SERVICE:
-        # A lost machine or zone should cost few replicas, and a fetch costs
-        # more than the start may take.
-        return (
-            view.shunned,
-            view.spot,
-            mates[view.name] > 0,
-            zones[view.zone],
-            fetch,
-            waste(spec, view),
-            mates[view.name],
-            -view.cpus,
-            view.name,
-        )
-    return (view.shunned, waste(spec, view), fetch, not view.spot, view.cpus, view.name)
-
-
-def _usable(spec: JobSpec, views: Sequence[View]) -> list[View]:
+def _usable(spec: JobSpec, views: Iterable[View]) -> list[View]:
     """Machines where at least one task of the job could start now."""
     return [
-        v for v in views if v.held_for in (None, spec.ref) and allowed(spec, v.type, v.zone, v.spot) and v.fits(spec)
+        v for v in views if v.held_for in (None, spec.ref) and v.fits(spec) and allowed(spec, v.type, v.zone, v.spot)
     ]
 
 
-def place(spec: JobSpec, count: int, views: Sequence[View], zones: Counter, mates: Counter) -> list[View]:
+def place(spec: JobSpec, count: int, views: Iterable[View], zones: Counter, mates: Counter) -> list[View]:
     """Machines for up to `count` tasks of an array or service, one entry a task.
 
     `zones` and `mates` count the job's tasks by zone and machine; both are
     brought up to date, as are the views.
     """
-    chosen: list[View] = []
     usable = _usable(spec, views)
+    if spec.shape is Shape.SERVICE:
+        return _spread_out(spec, count, usable, zones, mates)
+    return _fill_up(spec, count, usable, zones, mates)
+
+
+def _fill_up(spec: JobSpec, count: int, usable: list[View], zones: Counter, mates: Counter) -> list[View]:
+    """An array: zone by zone, the one with most room first, each machine to the brim.
+
+    Few zones mean that few controllers write the job's records.
+    """
+    free: Counter = Counter()
+    for view in usable:
+        free[view.zone] += view.cpus
+    ranks = {zone: (zones[zone] == 0, -free[zone], zone) for zone in free}
+    chosen: list[View] = []
+    for view in sorted(
+        usable,
+        key=lambda v: (
+            v.shunned, waste(spec, v), ranks[v.zone], round(fetch_cost(spec, v), 1), not v.spot, v.cpus, v.name
+        ),
+    ):  # fmt: skip
+        n = min(view.capacity(spec), count - len(chosen), zone_room(spec, zones, view.zone))
+        if n > 0:
+            view.take(spec, n)
+            zones[view.zone] += n
+            mates[view.name] += n
+            chosen += [view] * n
+        if len(chosen) >= count:
+            break
+    return chosen
+
+
+def _spread_out(spec: JobSpec, count: int, usable: list[View], zones: Counter, mates: Counter) -> list[View]:
+    """A service: a lost machine or zone should cost few replicas, and a fetch costs more than the start may take."""
+
+    def score(view: View) -> tuple:
+        n = mates[view.name]
+        return (view.shunned, view.spot, n > 0), (
+            round(fetch_cost(spec, view), 1), waste(spec, view), n, -view.cpus, view.name
+        )  # fmt: skip
+
+    pools = _by_zone(usable, score)
+    chosen: list[View] = []
     while len(chosen) < count:
-        usable = [v for v in usable if v.fits(spec) and zone_room(spec, zones, v.zone) > 0]
-        if not usable:
+        zone = _best_pool(pools, lambda z: zones[z], lambda z: zone_room(spec, zones, z) > 0)
+        if zone is None:
             break
-        best = min(usable, key=lambda v: _score(spec, v, zones, mates))
-        best.take(spec)
-        zones[best.zone] += 1
-        mates[best.name] += 1
-        chosen.append(best)
+        view = pools[zone][0][-1]
+        view.take(spec)
+        zones[zone] += 1
+        mates[view.name] += 1
+        chosen.append(view)
+        if view.fits(spec):
+            heapq.heapreplace(pools[zone], (*score(view), view))
+        else:
+            heapq.heappop(pools[zone])
     return chosen
 
 
-def place_gang(spec: JobSpec, views: Sequence[View]) -> list[View] | None:
+def _by_zone(views: Iterable[View], score: Callable[[View], tuple[tuple, tuple]]) -> dict[str, list[tuple]]:
+    """A heap for each zone of (more important, less important, view): taking a view changes its score alone."""
+    pools: dict[str, list[tuple]] = {}
+    for view in views:
+        pools.setdefault(view.zone, []).append((*score(view), view))
+    for pool in pools.values():
+        heapq.heapify(pool)
+    return pools
+
+
+def _best_pool(pools: dict[str, list[tuple]], rank: Callable[[str], Any], open_: Callable[[str], bool]) -> str | None:
+    """The zone whose first machine is best; between the two parts of a score the zone's own rank counts."""
+    able = [z for z, pool in pools.items() if pool and open_(z)]
+    return min(able, key=lambda z: (pools[z][0][0], rank(z), pools[z][0][1]), default=None)
+
+
+def place_gang(spec: JobSpec, views: Iterable[View]) -> list[View] | None:
     """Machines for a whole gang, one entry a task, or None if it does not fit."""
     usable = _usable(spec, views)
     by_zone: dict[str, list[View]] = {}
@@ -249,32 +297,49 @@
     """Something that could be stopped: one task, or a gang's tasks on one machine."""
 
     placement: Any
-    machine: str
-    priority: Priority
-    cpus: float
-    gpus: float
-    memory: float
+    spec: JobSpec
     loss: timedelta
 
+    @property
+    def priority(self) -> Priority:
+        return self.spec.priority
 
-def choose_victims(
-    spec: JobSpec, views: Iterable[View], victims: dict[str, list[Victim]], zones: Counter
-) -> tuple[View, list[Victim]] | None:
-    """The machine where one task of the job gains room at the least loss, and whom to stop there."""
-    best: tuple | None = None
-    for view in views:
-        if not allowed(spec, view.type, view.zone, view.spot) or view.shunned or view.kept:
-            continue
-        if zone_room(spec, zones, view.zone) <= 0:
-            continue
-        chosen = _enough(spec, view, victims.get(view.name, []))
+
+def make_room(
+    spec: JobSpec, count: int, views: Iterable[View], victims: dict[str, list[Victim]], zones: Counter
+) -> list[tuple[View, list[Victim]]]:
+    """Machines where up to `count` tasks of the job gain room at the least loss, and whom to stop there.
+
+    `zones` counts the job's tasks by zone; it, the views and the victims are
+    brought up to date.
+    """
+
+    def score(view: View) -> tuple | None:
+        below = [v for v in victims.get(view.name, ()) if v.priority < spec.priority]
+        chosen = _enough(spec, view, below)
         if chosen is None:
+            return None
+        lost = sum((v.loss for v in chosen), timedelta()).total_seconds()
+        return lost + 3 * fetch_cost(spec, view), len(chosen), zones[view.zone], view.name, view, chosen
+
+    able = [v for v in views if allowed(spec, v.type, v.zone, v.spot) and not v.shunned and not v.kept]
+    heap = [entry for entry in map(score, able) if entry is not None]
+    heapq.heapify(heap)
+    found: list[tuple[View, list[Victim]]] = []
+    while heap and len(found) < count:
+        *_, view, chosen = heapq.heappop(heap)
+        if zone_room(spec, zones, view.zone) <= 0:
             continue
-        lost = sum((v.loss for v in chosen), timedelta())
-        cost = (lost.total_seconds() + 3 * fetch_cost(spec, view), len(chosen), zones[view.zone], view.name)
-        if best is None or cost < best[0]:
-            best = (cost, view, chosen)
-    return None if best is None else (best[1], best[2])
+        for victim in chosen:
+            victims[view.name].remove(victim)
+            view.give_back(victim.spec)
+        view.take(spec)
+        zones[view.zone] += 1
+        found.append((view, chosen))
+        again = score(view)
+        if again is not None:
+            heapq.heappush(heap, again)
+    return found
 
 
 def _enough(spec: JobSpec, view: View, victims: list[Victim]) -> list[Victim] | None:
@@ -286,11 +351,11 @@
         if all(f + SLACK >= n for f, n in zip(free, need, strict=True)):
             break
         chosen.append(victim)
-        free = [f + x for f, x in zip(free, (victim.cpus, victim.gpus, victim.memory), strict=True)]
+        free = [f + x for f, x in zip(free, (victim.spec.cpus, victim.spec.gpus, victim.spec.memory), strict=True)]
     if any(f + SLACK < n for f, n in zip(free, need, strict=True)):
         return None
     for victim in list(reversed(chosen)):
-        without = [f - x for f, x in zip(free, (victim.cpus, victim.gpus, victim.memory), strict=True)]
+        without = [f - x for f, x in zip(free, (victim.spec.cpus, victim.spec.gpus, victim.spec.memory), strict=True)]
         if len(chosen) > 1 and all(f + SLACK >= n for f, n in zip(without, need, strict=True)):
             chosen.remove(victim)
             free = without
--- a/kelpjunction/store/client.py
+++ b/kelpjunction/store/client.py
@@ -22,6 +22,8 @@
 log = logging.getLogger("store")
 
 PAGE = 1000
+TRIES = 3
+REFUSED_PAUSE = timedelta(milliseconds=150)
 
 
 class StoreDown(Exception):
@@ -89,24 +91,54 @@
         return keys + sum(len(orjson.dumps(v)) for v in self.puts.values())
 
 
+class Haste(Enum):
+    """How long a write may be kept waiting for its turn."""
+
+    NOW = "now"  # a user waits, or a lease: it counts against the rate and waits for nothing
+    TURN = "turn"
+
+
 class Pacer:
-    """Counts what this node asks for, so that it stays below its share of a rate."""
+    """Counts what this node writes, so that it stays below its share of a rate.
+
+    The share is what the others leave: it shrinks when the service refuses
+    and grows again, as long as nothing is refused, up to `most`.
+    """
 
-    def __init__(self, clock: Clock, rate: float) -> None:
+    LEAST = 0.2  # of `most`
+    GROWTH = timedelta(seconds=10)  # from the least to the most
+
+    def __init__(self, clock: Clock, most: float) -> None:
         self._clock = clock
-        self.rate = rate
+        self._most = most
+        self.rate = most
         self._spent = 0.0
         self._at = clock.steady()
 
-    def delay(self, cost: float) -> timedelta:
-        """How long to wait before asking for `cost` more; counts it as asked for."""
+    def _pass_time(self) -> None:
         now = self._clock.steady()
-        self._spent = max(0.0, self._spent - (now - self._at).total_seconds() * self.rate)
+        passed = now - self._at
+        self._spent = max(0.0, self._spent - passed.total_seconds() * self.rate)
+        self.rate = min(self._most, self.rate + self._most * (passed / self.GROWTH))
         self._at = now
+
+    def delay(self, cost: float, haste: Haste = Haste.TURN) -> timedelta:
+        """How long to wait before asking for `cost` more; counts it as asked for."""
+        self._pass_time()
         # Half a second's worth may go at once; the service allows one second's.
         over = self._spent + cost - self.rate / 2
         self._spent += cost
-        return seconds(over / self.rate) if over > 0 else ZERO
+        return seconds(over / self.rate) if over > 0 and haste is not Haste.NOW else ZERO
+
+    def spare(self) -> float:
+        """How much could be asked for without making anything else wait."""
+        self._pass_time()
+        return max(0.0, self.rate / 4 - self._spent)
+
+    def refused(self) -> None:
+        """The service had no room: all nodes together ask for too much."""
+        self._pass_time()
+        self.rate = max(self._most * self.LEAST, self.rate * 0.8)
 
 
 class StoreClient:
@@ -175,13 +207,25 @@
         deletes: Iterable[str] = (),
         holds: Mapping[str, int] | None = None,
         timeout: timedelta = timedelta(seconds=2),
+        haste: Haste = Haste.NOW,
     ) -> Outcome:
         """Apply a transaction, or only compare if there is nothing to change."""
         deletes = tuple(deletes)
         body = wire.commit_body(guards, puts or {}, deletes, holds or {})
         ops = len(puts or {}) + len(deletes)
-        if ops and (delay := self._writes.delay(ops)):
+        if ops and (delay := self._writes.delay(ops, haste)):
             self._sleep(delay)
+        for _ in range(TRIES):
+            outcome = self._commit_once(body, timeout)
+            if outcome is not None:
+                return outcome
+            # Too many requests: it was certainly not applied.
+            self._writes.refused()
+            self._sleep(REFUSED_PAUSE)
+        return Outcome(Ending.REFUSED)
+
+    def _commit_once(self, body: bytes, timeout: timedelta) -> Outcome | None:
+        """Send a transaction; None if the service had no room for the request."""
         try:
             reply = self._transport.request(self._address, "POST", wire.COMMIT_PATH, body, timeout)
         except NoAnswer as error:
@@ -196,7 +240,10 @@
         if reply.status == 409:
             self._note(True)
             return Outcome(Ending.CONFLICT, failed=wire.parse_failed(reply.fields))
-        if reply.status in (400, 429, 503):
+        if reply.status == 429:
+            self._note(True)
+            return None
+        if reply.status in (400, 503):
             self._note(reply.status != 503, "503")
             if reply.status == 400:
                 log.error("transaction refused: %s", reply.fields)
@@ -204,7 +251,12 @@
         return Outcome(Ending.UNKNOWN)
 
     def apply(self, txn: Transaction) -> Outcome:
-        return self.commit(txn.guards, txn.puts, txn.deletes, txn.holds)
+        """Apply a transaction of a round, in its turn."""
+        return self.commit(txn.guards, txn.puts, txn.deletes, txn.holds, haste=Haste.TURN)
+
+    def spare_writes(self) -> int:
+        """How many keys could be written now without making anything else wait."""
+        return int(self._writes.spare())
 
     # -- holds --------------------------------------------------------------
 
--- a/kelpjunction/store/mirror.py
+++ b/kelpjunction/store/mirror.py
@@ -106,6 +106,15 @@
             if key.startswith(prefix):
                 listener(key, value, version)
 
+    def refresh(self, key: str) -> None:
+        """The copy of this key lags behind the store: read it alone."""
+        entry = self._store.get(key)
+        old = self._entries.get(key)
+        if entry is not None:
+            self.put(*entry)
+        elif old is not None:
+            self.put(key, None, old.version + 1)
+
     def put_outcome(self, puts: dict[str, Any], deletes, revision: int) -> None:
         """Put in a transaction of our own that was applied."""
         for key, value in puts.items():
@@ -121,9 +130,11 @@
     that makes an answer from the mirror as good as a read of the store.
     """
 
-    def __init__(self, store: StoreClient, spawn: Callable) -> None:
+    def __init__(self, store: StoreClient, spawn: Callable, pause: Callable[[timedelta], None], rate: float) -> None:
         self._store = store
         self._spawn = spawn
+        self._pause = pause
+        self._spacing = timedelta(seconds=1 / rate)
         self._asked: list[tuple[dict[str, int], AsyncResult]] = []
         self._busy = False
         self._most = store.limits.txn_ops * GUARDS_PER_OP
@@ -145,6 +156,8 @@
         try:
             while self._asked:
                 self._answer_some()
+                # What is asked meanwhile shares the next request.
+                self._pause(self._spacing)
         finally:
             self._busy = False
 
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -127,7 +127,7 @@
             if self._is_here(placement, worker, told.attempt):
                 listed.add(placement)
                 self._hear(worker, placement, told, now)
-        for placement in list(self._book.on_machine.get(worker.machine, {}).values()):
+        for placement in list(self._book.on(worker.machine).values()):
             if placement.session < worker.session:
                 # The worker killed everything of that session when it ended.
                 self.settle(placement, Cause.LOST, now)
@@ -177,6 +177,7 @@
             return
         placement.cause, placement.saved = cause, saved
         placement.advance(Phase.SETTLED, now)
+        self._book.settled[placement.task] = placement
         if cause not in (Cause.DONE, Cause.STOPPED):
             log.info("%s attempt %d on %s: %s", placement.task, placement.attempt, placement.machine, cause.value)
         self.on_exit(placement)
@@ -187,7 +188,7 @@
     def _commands_for(self, worker: Worker, token: int, now: timedelta) -> list[Command]:
         """What the worker must be told, from what it has and what it should have."""
         commands: list[Command] = []
-        here = self._book.on_machine.get(worker.machine, {})
+        here = self._book.on(worker.machine)
         for told_list in worker.tasks.values():
             for told in told_list:
                 placement = here.get(told.task)
@@ -300,16 +301,16 @@
     def settle_expired(self) -> None:
         """Settle what stood on machines whose leases have certainly ended."""
         now = self._clock.steady()
-        for machine, there in list(self._book.on_machine.items()):
-            end = self.lease_end(machine, next(iter(there.values())).zone)
+        for machine, load in self._book.loads.items():
+            end = self.lease_end(machine, next(iter(load.placements.values())).zone)
             if end is not None and now > end:
-                for placement in list(there.values()):
+                for placement in load.placements.values():
                     self.settle(placement, Cause.LOST, now)
 
     def settle_machine(self, machine: str) -> None:
         """The cloud confirmed that the machine is gone, and everything on it."""
         now = self._clock.steady()
-        for placement in list(self._book.on_machine.get(machine, {}).values()):
+        for placement in list(self._book.on(machine).values()):
             if self._blocks.mine(placement.zone) is not None:
                 self.settle(placement, Cause.LOST, now)
         self.workers.pop(machine, None)
--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -1,5 +1,7 @@
 """Seeded random schedules of faults on the simulated world."""
 
+from collections.abc import Callable
+
 from standins import World, seconds
 
 
@@ -18,8 +20,8 @@
             return None
         return self.random.choice(["held", "lost", "answer lost"])
 
-    def play(self, steps: int = 60) -> World:
-        """Play the schedule, then let everything recover."""
+    def play(self, after_step: Callable[[World], None], steps: int = 60) -> World:
+        """Play the schedule, with a look at the world after each step, then let everything recover."""
         world = self.world
         world.run(5)
         for _ in range(steps):
@@ -28,7 +30,9 @@
             for ref in self.refs:
                 if self.random.random() < 0.3 and any(world.nodes.values()):
                     world.poll(ref)
+            after_step(world)
         self._recover()
+        after_step(world)
         return world
 
     def _acts(self):
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -7,11 +7,11 @@
 
 from kelpjunction.clock import ZERO
 from kelpjunction.fleet.demand import Want, to_rent
-from kelpjunction.placement import Victim, View, choose_victims, place, place_gang
+from kelpjunction.placement import Victim, View, make_room, place, place_gang
 from kelpjunction.queue import Claim, Usage, Waiting, in_order, over_limit, shares
 from kelpjunction.settings import Team
-from kelpjunction.store.client import Pacer
-from kelpjunction.wire.messages import MachineType, Priority
+from kelpjunction.store.client import Haste, Pacer
+from kelpjunction.wire.messages import MachineType
 from kelpjunction.wire.users import parse_job
 
 NOW = datetime(2026, 1, 1, 12, tzinfo=UTC)
@@ -98,10 +98,11 @@
     for v in full:
         v.take(job(), 4)
     victims = {
-        "n-1": [Victim("long", "n-1", Priority.NORMAL, 2, 0, 4, timedelta(seconds=50))],
-        "n-2": [Victim("short", "n-2", Priority.NORMAL, 2, 0, 4, timedelta(seconds=5))],
+        "n-1": [Victim("long", job(), timedelta(seconds=50))],
+        "n-2": [Victim("short", job(), timedelta(seconds=5))],
     }
-    chosen_view, chosen = choose_victims(job(shape="service"), full, victims, Counter())
+    service = job(shape="service", urgency="prod")
+    chosen_view, chosen = make_room(service, 1, full, victims, Counter())[0]
     assert chosen_view.name == "n-2"
     assert [v.placement for v in chosen] == ["short"]
 
@@ -116,8 +117,21 @@
 
 def test_writes_are_paced_below_a_nodes_share_of_the_rate():
     clock = SimClock()
-    pacer = Pacer(clock, rate=10.0)
+    pacer = Pacer(clock, most=10.0)
     assert pacer.delay(5) == ZERO, "half a second's worth may go at once"
+    assert pacer.spare() == 0, "nothing is left for what can wait"
     assert pacer.delay(5) == timedelta(seconds=0.5)
-    clock.now += timedelta(seconds=1)
+    assert pacer.delay(1, Haste.NOW) == ZERO, "a user does not wait behind a round's writes"
+    clock.now += timedelta(seconds=2)
     assert pacer.delay(5) == ZERO
+
+
+def test_share_of_the_rate_shrinks_while_the_service_refuses_and_grows_again():
+    clock = SimClock()
+    pacer = Pacer(clock, most=10.0)
+    for _ in range(20):
+        pacer.refused()
+    assert pacer.rate == 2.0, "never less than a fifth"
+    clock.now += timedelta(seconds=5)
+    pacer.delay(0)
+    assert 6.9 < pacer.rate < 7.1
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -1,10 +1,14 @@
 """Traces of the safety argument: one or more for each numbered point of docs/design.md."""
 
+from collections import Counter
+
 import orjson
 import pytest
 from schedules import Schedule
 from standins import World, seconds
 
+from kelpjunction.jobs.book import Book
+
 
 def served(machines: int = 6, **kwargs) -> World:
     """A world whose nodes have settled in."""
@@ -462,9 +466,42 @@
 # Whatever fails
 
 
+def indexes(book: Book) -> dict:
+    """What the book keeps up to date change by change."""
+    counts = {ref: tuple(job.counts) for ref, job in book.jobs.items()}
+    loads = {n: (round(x.cpus, 6), round(x.memory, 6), +x.images, set(x.placements)) for n, x in book.loads.items()}
+    return {"counts": counts, "loads": loads, "sets": [book.waiting, book.handed, book.cancelled, book.over]}
+
+
+def reckoned_afresh(book: Book) -> dict:
+    """The same from the chunks alone: state that is kept must equal its sum."""
+    counts, loads, sets = {}, {}, [set(), set(), set(), set()]
+    for ref, job in book.jobs.items():
+        done = sum(job.chunk_size(n) if n in job.full else c.done.bit_count() for n, c in job.chunks.items())
+        done += sum(job.chunk_size(n) for n in job.full if n not in job.chunks)
+        placed = list(job.placements())
+        pending = sum(1 for c in job.chunks.values() for _ in c.pending())
+        counts[ref] = (done, len(placed), pending)
+        waits = not job.cancelled and done + len(placed) + pending < job.spec.tasks
+        for each, belongs in zip(sets, (waits, pending and not job.cancelled, job.cancelled, job.over()), strict=True):
+            each.update([ref] if belongs else [])
+        for p in placed:
+            cpus, memory, images, tasks = loads.get(p.machine, (0.0, 0.0, Counter(), set()))
+            images[p.spec.image] += 1
+            loads[p.machine] = (cpus + p.spec.cpus, memory + p.spec.memory, images, tasks | {p.task})
+    rounded = {n: (round(c, 6), round(m, 6), i, t) for n, (c, m, i, t) in loads.items()}
+    return {"counts": counts, "loads": rounded, "sets": sets}
+
+
+def check_indexes(world: World) -> None:
+    for node in world.nodes.values():
+        if node is not None:
+            assert indexes(node.book) == reckoned_afresh(node.book)
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_rules_hold_under_a_random_schedule_of_faults(seed):
-    world = Schedule(seed).play()
+    world = Schedule(seed).play(check_indexes)
     assert world.broken == []
     open_arrays = [r for r, t in world.told.items() if t == "accepted" and world.jobs[r]["shape"] != "service"]
     assert open_arrays == [], "everything accepted ends once the faults are over"
