Rent in large requests; try: dear room only for tasks that would be late

Changed: a request takes up to 50 machines, shared out over zones; spare room is rented without a limit on what boots; an array takes dear room last, one of a class no objective names never, another only for tasks the queue would make late; accelerator boxes idle above the peak of late are returned, the sooner the more they cost.

--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -1,7 +1,8 @@
 """The cloud: its catalog, its machine list, renting and returning."""
 
 import logging
-from collections import Counter
+import math
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 
@@ -10,7 +11,7 @@
 from kelpjunction.fleet.machines import MACHINE_PREFIX, Inventory, Machine, MachineState
 from kelpjunction.jobs.book import Book
 from kelpjunction.leadership import LEAD_KEY, Reign
-from kelpjunction.placement import type_fits
+from kelpjunction.placement import Budget, cheapest_slot, slots_on, type_fits
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Ending, StoreClient
 from kelpjunction.store.mirror import Mirror
@@ -25,7 +26,6 @@
 RENT_PREFIX = "l/rent/"
 CLOUD_TIMEOUT = timedelta(seconds=5)
 REFUSED_FOR = timedelta(seconds=20)
-AT_ONCE = 4  # machines in one request: small ones, so that zones and kinds take turns
 CATALOG_EVERY = timedelta(seconds=60)
 MINIMUM_CHARGE = timedelta(seconds=60)
 
@@ -34,6 +34,11 @@
     """The cloud did not answer or would not; its outcome is unknown."""
 
 
+def cpu_price(type_: MachineType) -> float:
+    """What an hour of one CPU costs on an ordinary machine of this type."""
+    return max(type_.price, 1e-9) / type_.cpus
+
+
 class Fleet:
     """The leader's machines and its dealings with the cloud."""
 
@@ -69,8 +74,10 @@
         self._gone: dict[str, timedelta] = {}
         self.wants: list[Want] = []
         self._scarce: dict[tuple, tuple[JobSpec, timedelta]] = {}
+        self._wanted: deque[tuple[timedelta, Counter]] = deque()
         self._trouble = False
         self._parsed: tuple[int, dict[str, MachineType]] = (0, {})
+        self._cheapest: tuple[dict[str, MachineType], dict[tuple, float]] = ({}, {})
 
     @property
     def machines(self) -> dict[str, Machine]:
@@ -88,6 +95,17 @@
             self._parsed = (entry.version, wire.parse_catalog(entry.value))
         return self._parsed[1]
 
+    def budget(self, spec: JobSpec, cheap_only: bool = False) -> Budget:
+        """What room for a job need cost."""
+        key = (spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory)
+        catalog = self.catalog
+        if self._cheapest[0] is not catalog:
+            self._cheapest = (catalog, {})
+        known = self._cheapest[1]
+        if key not in known:
+            known[key] = cheapest_slot(spec, catalog.values())
+        return Budget(known[key], cheap_only)
+
     # -- a reign ------------------------------------------------------------
 
     def begin(self, reign: Reign | None) -> None:
@@ -100,6 +118,7 @@
         self._requests = 0
         self._refused, self._gone, self._scarce = {}, {}, {}
         self._listed_at = self._catalog_at = None
+        self._wanted.clear()
 
     # -- one step -----------------------------------------------------------
 
@@ -214,7 +233,9 @@
 
     def _note_idle(self, now: timedelta) -> None:
         """Mark idle machines, and let go those that cost more than they are worth."""
-        kept = {n for n, t in self.catalog.items() if any(type_fits(s, t) for s in self.scarce)}
+        needed = self._boxes_needed(now)
+        least = min(map(cpu_price, self.catalog.values()), default=0.0)
+        have = Counter(m.type for m in self._live() if not m.spot)
         spare = self._room() - self._room_wanted()
         for machine in self.machines.values():
             if machine.name in self._book.loads:
@@ -224,23 +245,48 @@
                 machine.become(MachineState.RETURNING, now, "faulty and empty")
             if machine.idle_since is None:
                 machine.idle_since = now
-            if machine.state is not MachineState.UP or machine.type in kept:
-                continue
             type_ = self.catalog.get(machine.type)
-            if type_ is None or spare < type_.cpus:
+            if machine.state is not MachineState.UP or type_ is None:
                 continue
             idle = now - machine.idle_since
-            if idle > self._operators.idle_return and now - machine.rented_at > MINIMUM_CHARGE:
+            # What costs ten times as much stands idle a tenth as long.
+            if (
+                idle <= self._operators.idle_return * (least / cpu_price(type_))
+                or now - machine.rented_at <= MINIMUM_CHARGE
+            ):
+                continue
+            if type_.gpus and not machine.spot and have[type_.name] <= needed.get(type_.name, 0):
+                continue
+            if type_.gpus or spare >= type_.cpus:
                 machine.become(MachineState.RETURNING, now, f"idle for {idle.total_seconds():.0f} s")
+                have[type_.name] -= not machine.spot
                 spare -= type_.cpus
 
+    def _boxes_needed(self, now: timedelta) -> dict[str, float]:
+        """How many accelerator machines of each type to have: those boot too slowly to come and go with each job.
+
+        As many as the unfinished work at its peak of late; all of them while
+        this node has not watched for long enough to know.
+        """
+        wanted: Counter = Counter()
+        for job in map(self._book.jobs.__getitem__, self._book.accelerated):
+            for type_ in self.catalog.values():
+                if type_fits(job.spec, type_):
+                    wanted[type_.name] += -(-(job.spec.tasks - job.done_count()) // slots_on(job.spec, type_))
+        self._wanted.append((now, wanted))
+        while now - self._wanted[0][0] > self._operators.gang_memory:
+            self._wanted.popleft()
+        peak: Counter = Counter()
+        for _, wanted in self._wanted:
+            peak |= wanted
+        watched = now - self._began >= self._operators.gang_memory
+        return {n: peak[n] if watched or (not peak[n] and self.scarce) else math.inf for n in self.catalog}
+
     def note_scarce(self) -> None:
         """Remember which work needs accelerators: its machines boot too slowly to come and go."""
         now = self._clock.steady()
-        for job in self._book.jobs.values():
-            if job.spec.gpus > 0 and not job.cancelled:
-                need = (job.spec.types, job.spec.zone, job.spec.cpus, job.spec.gpus, job.spec.memory)
-                self._scarce[need] = (job.spec, now)
+        for spec in (self._book.jobs[ref].spec for ref in self._book.accelerated):
+            self._scarce[spec.types, spec.zone, spec.cpus, spec.gpus, spec.memory] = (spec, now)
         self._scarce = {
             need: (spec, at) for need, (spec, at) in self._scarce.items() if now - at < self._operators.gang_memory
         }
@@ -278,9 +324,9 @@
         supply = Counter(m.zone for m in live)
         coming = Counter(m.type for m in live if m.state is MachineState.BOOTING)
         refused = set(self._refused)
-        request = to_rent(self.wants, self.catalog, coming, refused, supply, most=AT_ONCE)
-        if request is None and sum(coming.values()) < 6:
-            request = to_rent(self._spare_wants(), self.catalog, {}, refused, supply, most=AT_ONCE)
+        request = to_rent(self.wants, self.catalog, coming, refused, supply, most=wire.MAX_RENT)
+        if request is None:
+            request = to_rent(self._spare_wants(), self.catalog, {}, refused, supply, most=wire.MAX_RENT)
         if request is None:
             return
         offer, count, spec = request
@@ -305,7 +351,7 @@
         missing = self._room_wanted() - self._room()
         samples = {job.spec.spot: job.spec for job in self._book.jobs.values() if job.spec.shape is not Shape.GANG}
         return [
-            Want(spec, int(missing / max(spec.cpus, 0.01)))
+            Want(spec, int(missing / max(spec.cpus, 0.01)), 0, self.budget(spec))
             for _, spec in sorted(samples.items())
             if missing >= max(spec.cpus, 0.01)
         ]
--- a/kelpjunction/fleet/demand.py
+++ b/kelpjunction/fleet/demand.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from kelpjunction.placement import type_fits
+from kelpjunction.placement import ANY_PRICE, Budget, slot_price, slots_on, type_fits
 from kelpjunction.wire.messages import JobSpec, MachineType
 
 
@@ -16,19 +16,17 @@
 
 
 class Want(NamedTuple):
-    """Tasks of one job that found no room."""
+    """Tasks of one job that found no room, and for how many of them dear room may be rented."""
 
     spec: JobSpec
     tasks: int
+    dear_tasks: int
+    budget: Budget = ANY_PRICE
 
 
-def price_per_slot(spec: JobSpec, type_: MachineType, spot: bool) -> float:
-    """What an hour of room for one task costs on a machine of this type."""
-    return (type_.spot_price if spot else type_.price) / slots_on(spec, type_)
-
-
-def offers(spec: JobSpec, catalog: dict[str, MachineType]) -> list[Offer]:
+def offers(want: Want, catalog: dict[str, MachineType]) -> list[Offer]:
     """What could be rented for this job, the cheapest room first."""
+    spec, budget = want.spec, want.budget
     found: list[tuple[float, Offer]] = []
     for type_ in catalog.values():
         if not type_fits(spec, type_):
@@ -36,19 +34,14 @@
         for zone in type_.zones:
             if spec.zone in (None, zone):
                 kinds = (False, True) if spec.spot else (False,)
-                found.extend((price_per_slot(spec, type_, k), Offer(type_.name, zone, k)) for k in kinds)
+                found.extend(
+                    (slot_price(spec, type_, k), Offer(type_.name, zone, k))
+                    for k in kinds
+                    if want.dear_tasks > 0 or not budget.dear(spec, type_, k)
+                )
     return [offer for _, offer in sorted(found)]
 
 
-def slots_on(spec: JobSpec, type_: MachineType) -> int:
-    """How many tasks of this job an empty machine of the type holds."""
-    slots = 1_000_000
-    for whole, each in ((type_.cpus, spec.cpus), (type_.gpus, spec.gpus), (type_.memory, spec.memory)):
-        if each > 0:
-            slots = min(slots, int(whole / each + 1e-6))
-    return max(1, slots)
-
-
 def to_rent(
     wants: Iterable[Want],
     catalog: dict[str, MachineType],
@@ -65,24 +58,26 @@
     """
     coming = dict(coming)
     for want in wants:
-        left = want.tasks
-        choices = offers(want.spec, catalog)
+        spec, left, dear_left = want.spec, want.tasks, want.dear_tasks
+        choices = offers(want, catalog)
         for name in {o.type for o in choices}:
-            slots = slots_on(want.spec, catalog[name])
+            slots = slots_on(spec, catalog[name])
             used = min(coming.get(name, 0), -(-left // slots))
-            if used:
+            if used > 0:
                 coming[name] -= used
                 left -= used * slots
-            if left <= 0:
-                break
-        if left <= 0:
-            continue
+                dear_left -= used * slots if want.budget.dear(spec, catalog[name], spot=False) else 0
         open_ = [o for o in choices if o not in refused]
-        if not open_:
+        if left <= 0 or not open_:
             continue
+        if want.budget.dear(spec, catalog[open_[0].type], open_[0].spot):
+            left = min(left, dear_left)
+            if left <= 0:
+                continue
         first = open_[0]
         same = [o for o in open_ if o.type == first.type and o.spot == first.spot]
         best = min(same, key=lambda o: (supply.get(o.zone, 0), o.zone))
-        slots = slots_on(want.spec, catalog[best.type])
-        return best, max(1, min(most, -(-left // slots))), want.spec
+        machines = -(-left // slots_on(spec, catalog[best.type]))
+        # Large requests, since the cloud allows few; a share each, so that zones take turns.
+        return best, max(1, min(most, -(-machines // len(same)))), spec
     return None
--- a/kelpjunction/jobs/book.py
+++ b/kelpjunction/jobs/book.py
@@ -287,6 +287,7 @@
         self.waiting: set[str] = set()  # jobs with tasks that wait to be handed over
         self.handed: set[str] = set()  # jobs with tasks that were handed to a block and not started
         self.gangs: set[str] = set()
+        self.accelerated: set[str] = set()  # jobs that need accelerators and are not cancelled
         self.cancelled: set[str] = set()
         self.over: set[str] = set()  # jobs whose end is to be written down
         self.settled: dict[TaskId, Placement] = {}  # placements whose end is to be written down
@@ -315,7 +316,9 @@
                 for placement in list(job.placements()):
                     self._drop(placement)
                 del self.jobs[ref]
-                for index in (self.waiting, self.handed, self.gangs, self.cancelled, self.over):
+                for index in (
+                    self.waiting, self.handed, self.gangs, self.accelerated, self.cancelled, self.over
+                ):  # fmt: skip
                     index.discard(ref)
             return
         cancelled = bool(value.get("cancelled"))
@@ -333,6 +336,7 @@
             (self.waiting, not job.cancelled and job.waiting_count() > 0),
             (self.handed, not job.cancelled and job.counts.pending > 0),
             (self.gangs, job.spec.shape is Shape.GANG),
+            (self.accelerated, job.spec.gpus > 0 and not job.cancelled),
             (self.cancelled, job.cancelled),
             (self.over, job.over()),
         ):
--- a/kelpjunction/placement/__init__.py
+++ b/kelpjunction/placement/__init__.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import math
 from collections import Counter
 from collections.abc import Callable, Container, Iterable
 from dataclasses import dataclass, field
@@ -14,6 +15,7 @@
 from kelpjunction.wire.messages import JobSpec, MachineType, Priority, Shape
 
 SLACK = 1e-6
+DEAR = 4  # times the cheapest room
 
 
 @dataclass(slots=True, eq=False)
@@ -123,11 +125,41 @@
     return whole * 0.6 if spec.image in view.arriving else whole
 
 
-def waste(spec: JobSpec, view: View) -> float:
-    """What the machine has that the job does not need: scarce types are left alone."""
-    if spec.gpus > 0 or view.kept:
-        return 0.0  # it is kept anyway, and only its rest is given away
-    return view.type.gpus
+def slots_on(spec: JobSpec, type_: MachineType) -> int:
+    """How many tasks of this job an empty machine of the type holds."""
+    slots = 1_000_000
+    for whole, each in ((type_.cpus, spec.cpus), (type_.gpus, spec.gpus), (type_.memory, spec.memory)):
+        if each > 0:
+            slots = min(slots, int(whole / each + SLACK))
+    return max(1, slots)
+
+
+def slot_price(spec: JobSpec, type_: MachineType, spot: bool) -> float:
+    """What an hour of room for one task costs on a machine of this type."""
+    return (type_.spot_price if spot else type_.price) / slots_on(spec, type_)
+
+
+class Budget(NamedTuple):
+    """What room for a job need cost, and whether it may take room that costs several times that."""
+
+    cheapest: float
+    cheap_only: bool
+
+    def dear(self, spec: JobSpec, type_: MachineType, spot: bool) -> bool:
+        return slot_price(spec, type_, spot) > DEAR * self.cheapest
+
+
+ANY_PRICE = Budget(math.inf, False)
+
+
+def cheapest_slot(spec: JobSpec, types: Iterable[MachineType]) -> float:
+    """The least that an hour of room for one task costs."""
+    return min((slot_price(spec, t, s) for t in types if type_fits(spec, t) for s in {False, spec.spot}), default=0.0)
+
+
+def _is_dear(spec: JobSpec, view: View, budget: Budget) -> bool:
+    # What is kept for accelerator work is paid anyway: its rest is given away.
+    return not view.kept and budget.dear(spec, view.type, view.spot)
 
 
 def _usable(spec: JobSpec, views: Iterable[View]) -> list[View]:
@@ -137,19 +169,26 @@
     ]
 
 
-def place(spec: JobSpec, count: int, views: Iterable[View], zones: Counter, mates: Counter) -> list[View]:
+def place(
+    spec: JobSpec, count: int, views: Iterable[View], zones: Counter, mates: Counter, budget: Budget = ANY_PRICE
+) -> list[View]:
     """Machines for up to `count` tasks of an array or service, one entry a task.
 
     `zones` and `mates` count the job's tasks by zone and machine; both are
     brought up to date, as are the views.
     """
     usable = _usable(spec, views)
+    dear = {v.name for v in usable if _is_dear(spec, v, budget)}
+    if budget.cheap_only:
+        usable = [v for v in usable if v.name not in dear]
     if spec.shape is Shape.SERVICE:
-        return _spread_out(spec, count, usable, zones, mates)
-    return _fill_up(spec, count, usable, zones, mates)
+        return _spread_out(spec, count, usable, zones, mates, dear)
+    return _fill_up(spec, count, usable, zones, mates, dear)
 
 
-def _fill_up(spec: JobSpec, count: int, usable: list[View], zones: Counter, mates: Counter) -> list[View]:
+def _fill_up(
+    spec: JobSpec, count: int, usable: list[View], zones: Counter, mates: Counter, dear: set[str]
+) -> list[View]:
     """An array: zone by zone, the one with most room first, each machine to the brim.
 
     Few zones mean that few controllers write the job's records.
@@ -162,7 +201,7 @@
     for view in sorted(
         usable,
         key=lambda v: (
-            v.shunned, waste(spec, v), ranks[v.zone], round(fetch_cost(spec, v), 1), not v.spot, v.cpus, v.name
+            v.shunned, v.name in dear, ranks[v.zone], round(fetch_cost(spec, v), 1), not v.spot, v.cpus, v.name
         ),
     ):  # fmt: skip
         n = min(view.capacity(spec), count - len(chosen), zone_room(spec, zones, view.zone))
@@ -176,14 +215,17 @@
     return chosen
 
 
-def _spread_out(spec: JobSpec, count: int, usable: list[View], zones: Counter, mates: Counter) -> list[View]:
+def _spread_out(
+    spec: JobSpec, count: int, usable: list[View], zones: Counter, mates: Counter, dear: set[str]
+) -> list[View]:
     """A service: a lost machine or zone should cost few replicas, and a fetch costs more than the start may take."""
 
     def score(view: View) -> tuple:
         n = mates[view.name]
-        return (view.shunned, view.spot, n > 0), (
-            round(fetch_cost(spec, view), 1), waste(spec, view), n, -view.cpus, view.name
-        )  # fmt: skip
+        return (
+            (view.shunned, view.spot, view.name in dear, view.kept, n > 0),
+            (round(fetch_cost(spec, view), 1), n, -view.cpus, view.name),
+        )
 
     pools = _by_zone(usable, score)
     chosen: list[View] = []
@@ -245,7 +287,13 @@
     room = {v.name: v.capacity(spec) for v in pool}
     order = sorted(
         pool,
-        key=lambda v: (v.shunned, -min(room[v.name], spec.tasks), fetch_cost(spec, v), waste(spec, v), v.name),
+        key=lambda v: (
+            v.shunned,
+            -min(room[v.name], spec.tasks),
+            fetch_cost(spec, v),
+            slot_price(spec, v.type, v.spot),
+            v.name,
+        ),
     )
     plan: dict[str, int] = {}
     zones: Counter = Counter()
@@ -289,7 +337,7 @@
         len({v.zone for v in plan}),
         max(fetch_cost(spec, v) for v in plan),
         len(plan),
-        sum(waste(spec, v) for v in plan),
+        sum(slot_price(spec, v.type, v.spot) for v in plan),
     )
 
 
--- a/kelpjunction/wire/cloud.py
+++ b/kelpjunction/wire/cloud.py
@@ -11,6 +11,7 @@
 CATALOG_PATH = "/catalog"
 RENT_PATH = "/rentals"
 RETURN_PATH = "/rentals/return"
+MAX_RENT = 50
 MAX_RETURN = 100
 PAGE = 500
 
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -302,6 +302,9 @@
         """Settle what stood on machines whose leases have certainly ended."""
         now = self._clock.steady()
         for machine, load in self._book.loads.items():
+            worker = self.workers.get(machine)
+            if worker is not None and now - worker.heard_at < self._times.lease:
+                continue  # heard of within a lease: whatever is reckoned, it has not ended
             end = self.lease_end(machine, next(iter(load.placements.values())).zone)
             if end is not None and now > end:
                 for placement in load.placements.values():
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -6,8 +6,8 @@
 from standins import SimClock
 
 from kelpjunction.clock import ZERO
-from kelpjunction.fleet.demand import Want, to_rent
-from kelpjunction.placement import Victim, View, make_room, place, place_gang
+from kelpjunction.fleet.demand import Offer, Want, to_rent
+from kelpjunction.placement import Budget, Victim, View, make_room, place, place_gang
 from kelpjunction.queue import Claim, Usage, Waiting, in_order, over_limit, shares
 from kelpjunction.settings import Team
 from kelpjunction.store.client import Haste, Pacer
@@ -107,12 +107,31 @@
     assert [v.placement for v in chosen] == ["short"]
 
 
-def test_renting_takes_the_cheapest_and_counts_what_is_coming():
+def test_renting_takes_the_cheapest_shared_out_over_zones_and_counts_what_is_coming():
     catalog = {"small": SMALL, "gpu": GPU}
-    want = [Want(job(driftwood=True), 8)]
-    offer, count, _ = to_rent(want, catalog, {}, set(), {"a": 2, "b": 1}, most=4)
-    assert (offer.type, offer.zone, offer.spot, count) == ("small", "b", True, 2)
-    assert to_rent(want, catalog, {"small": 2}, set(), {}, most=4) is None
+    want = [Want(job(driftwood=True), 8, 8)]
+    offer, count, _ = to_rent(want, catalog, {}, set(), {"a": 2, "b": 1}, most=50)
+    assert (offer.type, offer.zone, offer.spot, count) == ("small", "b", True, 1), "the other zone gets the other"
+    assert to_rent(want, catalog, {"small": 2}, set(), {}, most=50) is None
+
+
+def test_dear_room_is_rented_only_for_the_tasks_that_would_be_late():
+    catalog = {"small": SMALL, "gpu": GPU}
+    taken = {Offer("small", z, s) for z in ("a", "b") for s in (False, True)}
+    dear = Budget(0.1, False)
+    assert to_rent([Want(job(fronds=99), 99, 0, dear)], catalog, {}, taken, {}, most=50) is None
+    offer, count, _ = to_rent([Want(job(fronds=99), 99, 30, dear)], catalog, {}, taken, {}, most=50)
+    assert (offer.type, count) == ("gpu", 1)
+    assert to_rent([Want(job(fronds=99), 99, 30, dear)], catalog, {"gpu": 2}, taken, {}, most=50) is None
+
+
+def test_arrays_take_dear_room_last_and_not_at_all_where_it_is_not_worth_it():
+    views = [view("n-1", GPU), view("n-2")]
+    chosen = place(job(fronds=9), 9, views, Counter(), Counter(), Budget(0.1, False))
+    assert [v.name for v in chosen] == ["n-2"] * 4 + ["n-1"] * 5
+    views = [view("n-1", GPU), view("n-2")]
+    chosen = place(job(fronds=9), 9, views, Counter(), Counter(), Budget(0.1, True))
+    assert [v.name for v in chosen] == ["n-2"] * 4
 
 
 def test_writes_are_paced_below_a_nodes_share_of_the_rate():
