Dear room for every class an objective names; the rule for late tasks goes

Cause of the loss before: cheap room filled with chip-import's tasks, so that replicas had to stop some and fetch images.

--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -34,11 +34,6 @@
     """The cloud did not answer or would not; its outcome is unknown."""
 
 
-def cpu_price(type_: MachineType) -> float:
-    """What an hour of one CPU costs on an ordinary machine of this type."""
-    return max(type_.price, 1e-9) / type_.cpus
-
-
 class Fleet:
     """The leader's machines and its dealings with the cloud."""
 
@@ -95,8 +90,10 @@
             self._parsed = (entry.version, wire.parse_catalog(entry.value))
         return self._parsed[1]
 
-    def budget(self, spec: JobSpec, cheap_only: bool = False) -> Budget:
-        """What room for a job need cost."""
+    def budget(self, spec: JobSpec, spare: bool = False) -> Budget:
+        """What may be paid for a job's room: several times the least only if an objective names its class."""
+        aimed = self._platform.aimed
+        cheap_only = spare or (spec.shape is Shape.ARRAY and bool(aimed) and spec.klass not in aimed)
         key = (spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory)
         catalog = self.catalog
         if self._cheapest[0] is not catalog:
@@ -234,7 +231,6 @@
     def _note_idle(self, now: timedelta) -> None:
         """Mark idle machines, and let go those that cost more than they are worth."""
         needed = self._boxes_needed(now)
-        least = min(map(cpu_price, self.catalog.values()), default=0.0)
         have = Counter(m.type for m in self._live() if not m.spot)
         spare = self._room() - self._room_wanted()
         for machine in self.machines.values():
@@ -249,11 +245,7 @@
             if machine.state is not MachineState.UP or type_ is None:
                 continue
             idle = now - machine.idle_since
-            # What costs ten times as much stands idle a tenth as long.
-            if (
-                idle <= self._operators.idle_return * (least / cpu_price(type_))
-                or now - machine.rented_at <= MINIMUM_CHARGE
-            ):
+            if idle <= self._operators.idle_return or now - machine.rented_at <= MINIMUM_CHARGE:
                 continue
             if type_.gpus and not machine.spot and have[type_.name] <= needed.get(type_.name, 0):
                 continue
@@ -351,7 +343,7 @@
         missing = self._room_wanted() - self._room()
         samples = {job.spec.spot: job.spec for job in self._book.jobs.values() if job.spec.shape is not Shape.GANG}
         return [
-            Want(spec, int(missing / max(spec.cpus, 0.01)), 0, self.budget(spec))
+            Want(spec, int(missing / max(spec.cpus, 0.01)), self.budget(spec, spare=True))
             for _, spec in sorted(samples.items())
             if missing >= max(spec.cpus, 0.01)
         ]
--- a/kelpjunction/fleet/demand.py
+++ b/kelpjunction/fleet/demand.py
@@ -16,11 +16,10 @@
 
 
 class Want(NamedTuple):
-    """Tasks of one job that found no room, and for how many of them dear room may be rented."""
+    """Tasks of one job that found no room, and what may be paid for it."""
 
     spec: JobSpec
     tasks: int
-    dear_tasks: int
     budget: Budget = ANY_PRICE
 
 
@@ -37,7 +36,7 @@
                 found.extend(
                     (slot_price(spec, type_, k), Offer(type_.name, zone, k))
                     for k in kinds
-                    if want.dear_tasks > 0 or not budget.dear(spec, type_, k)
+                    if not (budget.cheap_only and budget.dear(spec, type_, k))
                 )
     return [offer for _, offer in sorted(found)]
 
@@ -58,7 +57,7 @@
     """
     coming = dict(coming)
     for want in wants:
-        spec, left, dear_left = want.spec, want.tasks, want.dear_tasks
+        spec, left = want.spec, want.tasks
         choices = offers(want, catalog)
         for name in {o.type for o in choices}:
             slots = slots_on(spec, catalog[name])
@@ -66,14 +65,9 @@
             if used > 0:
                 coming[name] -= used
                 left -= used * slots
-                dear_left -= used * slots if want.budget.dear(spec, catalog[name], spot=False) else 0
         open_ = [o for o in choices if o not in refused]
         if left <= 0 or not open_:
             continue
-        if want.budget.dear(spec, catalog[open_[0].type], open_[0].spot):
-            left = min(left, dear_left)
-            if left <= 0:
-                continue
         first = open_[0]
         same = [o for o in open_ if o.type == first.type and o.spot == first.spot]
         best = min(same, key=lambda o: (supply.get(o.zone, 0), o.zone))
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -16,7 +16,7 @@
 from kelpjunction.jobs.book import CHUNK, SUM_PREFIX, Book, Handed, Job, Phase, Placement, ranges
 from kelpjunction.jobs.records import Records, run_key
 from kelpjunction.jobs.views import cached, emptied, spread_of, view_of
-from kelpjunction.placement import Budget, Victim, View, make_room, place, place_gang
+from kelpjunction.placement import Victim, View, make_room, place, place_gang
 from kelpjunction.queue import Waiting, in_order
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Transaction
@@ -257,16 +257,11 @@
         for zone in sorted({h.zone for _, h in ours}):
             tasks = [(t, h) for t, h in ours if h.zone == zone]
             there = [v for v in able if v.zone == zone]
-            chosen = place(spec, len(tasks), there, Counter(), mates, self._budget(spec))
+            chosen = place(spec, len(tasks), there, Counter(), mates, self._fleet.budget(spec))
             starts += [(task, view, None) for (task, _), view in zip(tasks, chosen, strict=False)]
             left += tasks[len(chosen) :]
         return starts, left
 
-    def _budget(self, spec: JobSpec) -> Budget:
-        """What may be paid here: the leader decided, but an array of no named class never takes dear room."""
-        unnamed = bool(self._platform.aims) and spec.klass not in self._platform.aims
-        return self._fleet.budget(spec, cheap_only=unnamed and spec.shape is Shape.ARRAY)
-
     def _choose_for_gang(
         self, job: Job, ours: list[tuple[TaskId, Handed]], able: list[View], views: list[View]
     ) -> tuple[list[tuple[TaskId, View, int | None]], list[tuple[TaskId, Handed]]]:
@@ -400,7 +395,7 @@
         for zone in sorted({h.zone for _, h in left}):
             there = [v for v in views if v.zone == zone]
             count = sum(h.zone == zone for _, h in left)
-            count -= len(place(spec, count, there, Counter(), mates, self._budget(spec)))
+            count -= len(place(spec, count, there, Counter(), mates, self._fleet.budget(spec)))
             found = make_room(spec, count, there, victims, Counter())
             for _, chosen in found:
                 for victim in chosen:
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-import math
 from collections import Counter
 from datetime import timedelta
 
@@ -19,7 +18,7 @@
 from kelpjunction.jobs.records import Records, run_key
 from kelpjunction.jobs.views import emptied, spread_of, view_of
 from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
-from kelpjunction.placement import Budget, Victim, View, make_room, place, place_gang
+from kelpjunction.placement import Victim, View, make_room, place, place_gang
 from kelpjunction.queue import Claim, Usage, Waiting, in_order, shares
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import StoreClient, Transaction
@@ -66,7 +65,6 @@
         self._snapshot_at = ZERO
         self._snapshot_keys = 0
         self._handed_at: dict[TaskId, tuple[str, timedelta]] = {}
-        self._queue = ZERO  # how long the machines there are need for the arrays that wait
 
     def begin(self, reign: Reign) -> None:
         """Start a reign: read the last snapshot of the deficits.
@@ -134,7 +132,6 @@
         if not waiting and not held_back:
             return False
         self._fleet.note_scarce()
-        self._queue = self._time_to_clear(waiting)
         views = self._views()
         usage = self._usage()
         kept = shares((self._claim(j) for j in self._book.jobs.values() if not j.cancelled), self._platform.teams)
@@ -169,42 +166,11 @@
             (j, n) for j, n in unplaced if j.spec.shape is Shape.SERVICE and n == min(j.waiting_count(), MOST_AT_ONCE)
         ]
         txns += self._hand_where_others_may_stop(services, views, usage)
-        boot = max((t.boot for t in self._fleet.catalog.values()), default=ZERO)
-        self._fleet.wants = [self._want(job, left, boot) for job, left in unplaced]
+        self._fleet.wants = [Want(job.spec, left, self._fleet.budget(job.spec)) for job, left in unplaced]
         if txns:
             self._records.write(txns)
         return bool(txns)
 
-    def _time_to_clear(self, waiting: list[Job]) -> timedelta:
-        """How long the arrays that wait will take on as many slots as arrays have now."""
-        slots = sum(job.placed_count() for job in self._book.jobs.values() if job.spec.shape is Shape.ARRAY)
-        work = (job.spec.estimate * job.waiting_count() for job in waiting if job.spec.shape is Shape.ARRAY)
-        return sum(work, ZERO) / max(1, slots)
-
-    def _late_share(self, job: Job, boot: timedelta = ZERO) -> float:
-        """For what part of a job's waiting tasks dear room is worth its price.
-
-        All, unless it is an array and there are objectives.  Of an array those
-        that would end too late for an objective, as the queue takes longer
-        than the job has to spare; none where it has not even `boot` to spare.
-        """
-        spec, aims = job.spec, self._platform.aims
-        if spec.shape is not Shape.ARRAY or not aims:
-            return 1.0
-        within = spec.deadline or aims.get(spec.klass)
-        if spec.klass not in aims or within is None:
-            return float(spec.klass in aims)
-        spare = within - spec.estimate - (self._clock.utc() - job.submitted)
-        if self._queue <= spare or spare < boot:
-            return 0.0
-        return min(1.0, 1 - spare / self._queue)
-
-    def _budget(self, job: Job) -> Budget:
-        return self._fleet.budget(job.spec, cheap_only=self._late_share(job) == 0)
-
-    def _want(self, job: Job, left: int, boot: timedelta) -> Want:
-        return Want(job.spec, left, math.ceil(left * self._late_share(job, boot)), self._fleet.budget(job.spec))
-
     def _claim(self, job: Job) -> Claim:
         spec, left = job.spec, job.spec.tasks - job.done_count()
         return Claim(spec.ref, spec.team, job.submitted, spec.cpus * left, spec.gpus * left, job.waiting_count() > 0)
@@ -228,7 +194,7 @@
             zones, mates = spread_of(job)
             refused = self._refused_zones(tasks)
             able = [v for v in views if v.zone not in refused] if refused else views
-            chosen = place(spec, room, able, zones, mates, self._budget(job))
+            chosen = place(spec, room, able, zones, mates, self._fleet.budget(job.spec))
             if len(chosen) < room and not (refused or spec.spread or spec.one_zone):
                 full.add(needs)
         self._why(job, "" if len(chosen) >= room else "no machine has room")
@@ -361,7 +327,7 @@
             if ref in self._book.gangs and self._stuck(ref):
                 continue
             for zone, count in Counter(h.zone for _, h in job.pending()).items():
-                place(job.spec, count, by_zone.get(zone, ()), Counter(), Counter(), self._budget(job))
+                place(job.spec, count, by_zone.get(zone, ()), Counter(), Counter(), self._fleet.budget(job.spec))
         return views
 
     def _hand_where_others_may_stop(
--- a/kelpjunction/placement/__init__.py
+++ b/kelpjunction/placement/__init__.py
@@ -223,8 +223,8 @@
     def score(view: View) -> tuple:
         n = mates[view.name]
         return (
-            (view.shunned, view.spot, view.name in dear, view.kept, n > 0),
-            (round(fetch_cost(spec, view), 1), n, -view.cpus, view.name),
+            (view.shunned, view.spot, n > 0),
+            (round(fetch_cost(spec, view), 1), view.name in dear, n, -view.cpus, view.name),
         )
 
     pools = _by_zone(usable, score)
--- a/kelpjunction/settings.py
+++ b/kelpjunction/settings.py
@@ -79,7 +79,7 @@
     store_address: str
     zones: tuple[str, ...]
     teams: dict[str, Team]
-    aims: dict[str, timedelta | None]  # classes that the objectives name, and the shortest wait or stay they ask for
+    aimed: frozenset[str]  # the classes of jobs that the objectives name
     workers: WorkerTimes
     store: StoreLimits
     cloud: CloudLimits
@@ -133,7 +133,7 @@
                 "state": _object(dict.fromkeys(("rps", "write_rps", "value_kb", "txn_ops"), _NUMBER)),
                 "cloud": _object(dict.fromkeys(("rps", "list_lag_s"), _NUMBER)),
             },
-            {"objectives": {"type": "array", "items": _object({}, {"class": _NAME, "within_s": _NUMBER})}},
+            {"objectives": {"type": "array", "items": _object({}, {"class": _NAME})}},
         ),
     },
     {
@@ -167,7 +167,7 @@
         store_address=raw["services"]["state"],
         zones=tuple(params["zones"]),
         teams={t["name"]: _team(t) for t in params["teams"]},
-        aims=_aims(params.get("objectives", ())),
+        aimed=frozenset(o["class"] for o in params.get("objectives", ()) if "class" in o),
         workers=WorkerTimes(
             report=seconds(workers["report_s"]),
             lease=seconds(workers["lease_s"]),
@@ -180,16 +180,6 @@
     )
 
 
-def _aims(objectives: list[dict]) -> dict[str, timedelta | None]:
-    aims: dict[str, timedelta | None] = {}
-    for objective in objectives:
-        name = objective.get("class")
-        if name is not None:
-            times = [aims.get(name), seconds(objective["within_s"]) if "within_s" in objective else None]
-            aims[name] = min((t for t in times if t is not None), default=None)
-    return aims
-
-
 def _team(raw: dict) -> Team:
     return Team(
         name=raw["name"],
