--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -31,9 +31,10 @@
 
 log = logging.getLogger("daemon")
 
-COALESCE = timedelta(milliseconds=20)
-LONGEST_PAUSE = timedelta(milliseconds=200)
+COALESCE = timedelta(milliseconds=50)
+LONGEST_PAUSE = timedelta(milliseconds=250)
 PAUSE_AFTER_TROUBLE = timedelta(milliseconds=250)
+FEW_SOCKETS = 20
 PEER_EVERY = timedelta(seconds=1)
 REQUEST_SHARE = 0.3
 WRITE_SHARE = 0.6  # of the store's rate of changes: the leader needs more than a third, seldom all nodes at once
@@ -51,6 +52,7 @@
         platform: Platform,
         operators: Operators,
         transport: Transport,
+        worker_transport: Transport,
         follow_transport: Transport,
         clock: Clock,
         spawn: Callable,
@@ -72,7 +74,7 @@
         )
         self.blocks = Blocks(platform.node, incarnation, self.store, self.mirror, clock)
         self.roster = Roster(
-            platform.workers, self.book, self.blocks, self.leadership, transport, clock, spawn, self.wake.set
+            platform.workers, self.book, self.blocks, self.leadership, worker_transport, clock, spawn, self.wake.set
         )
         self.inventory = Inventory(self.mirror, self.blocks, clock)
         self.watch = Watch(
@@ -163,16 +165,27 @@
         self._clock = clock or SystemClock()
         self._transport = HttpTransport()
         self._random = random.Random()
+        # Of the sockets, a quarter for what is sent to workers, a few for the
+        # store, the cloud and the siblings, and the rest for whoever connects.
+        self._outgoing = platform.max_sockets // 4
         self.node = Node(
-            platform, operators, self._transport, HttpTransport(1), self._clock, gevent.spawn, sleep, self._random
+            platform,
+            operators,
+            self._transport,
+            HttpTransport(2, most=self._outgoing),
+            HttpTransport(1),
+            self._clock,
+            gevent.spawn,
+            sleep,
+            self._random,
         )
         self.node.mirror.listen(LEAD_KEY, self._lead_changed)
 
     def run_forever(self) -> None:
         """Serve until the process is killed."""
-        pool = Pool(1000)
-        users = self._server(self._platform.listen, Application(self.node), pool)
-        peers = self._server(self._platform.internal, PeerApplication(self.node), Pool(100))
+        incoming = self._platform.max_sockets - self._outgoing - 2 * FEW_SOCKETS
+        users = self._server(self._platform.listen, Application(self.node), Pool(incoming))
+        peers = self._server(self._platform.internal, PeerApplication(self.node), Pool(FEW_SOCKETS))
         users.start()
         peers.start()
         log.info("%s serves users and workers on %s", self._platform.node, self._platform.listen)
@@ -217,13 +230,13 @@
         sleep(self.node.leadership.beat)
 
     def _rounds(self) -> None:
-        """A round on every event; a long one is followed by as long a pause, in which all else is served."""
+        """A round on every event; a long one is followed by a pause twice as long, in which all else is served."""
         self.node.wake.wait(self._operators.round.total_seconds())
         self.node.wake.clear()
         began = self._clock.steady()
         if self.node.round():
             self.node.wake.set()
-        sleep(min(max(COALESCE, self._clock.steady() - began), LONGEST_PAUSE))
+        sleep(min(max(COALESCE, 2 * (self._clock.steady() - began)), LONGEST_PAUSE))
 
     def _cloud(self) -> None:
         self.node.fleet.step()
--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -13,7 +13,7 @@
 from kelpjunction.leadership import LEAD_KEY, Reign
 from kelpjunction.placement import Budget, cheapest_slot, slots_on, type_fits
 from kelpjunction.settings import Operators, Platform
-from kelpjunction.store.client import Ending, StoreClient
+from kelpjunction.store.client import Ending, Service, StoreClient
 from kelpjunction.store.mirror import Mirror
 from kelpjunction.transport import NoAnswer, Reply, Transport
 from kelpjunction.wire import cloud as wire
@@ -131,8 +131,11 @@
             self._return_some()
             if self._listed_at is None or now - self._listed_at > self._platform.cloud.list_lag / 2:
                 self._read_list()
-            self._repeat_requests()
-            self._rent_some()
+            if self._store.service is Service.ANSWERING:
+                # Without it no intent can be written down or crossed out:
+                # the cloud's few calls are left to what can be done.
+                self._repeat_requests()
+                self._rent_some()
             self._note_trouble(False)
         except NoCloud as error:
             self._note_trouble(True, str(error))
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -363,9 +363,7 @@
         rows = [(j.spec.ref, round(j.received.total_seconds(), 1)) for j in self._book.jobs.values() if j.received]
         per_key = max(1, self._store.limits.value_bytes // 64)
         parts = [dict(rows[i : i + per_key]) for i in range(0, len(rows), per_key)]
-        parts = parts[: self._store.limits.txn_ops - 2]
-        puts = {f"{SNAPSHOT_PREFIX}{i}": part for i, part in enumerate(parts)}
-        stale = [f"{SNAPSHOT_PREFIX}{i}" for i in range(len(parts), self._snapshot_keys)][:2]
-        if puts or stale:
-            self._store.commit({LEAD_KEY: self._reign.lead_version}, puts, stale)
+        txns = [self._led().put(f"{SNAPSHOT_PREFIX}{i}", part) for i, part in enumerate(parts)]
+        txns += [self._led().delete(f"{SNAPSHOT_PREFIX}{i}") for i in range(len(parts), self._snapshot_keys)]
+        if self._records.write(txns):
             self._snapshot_keys = len(parts)
--- a/kelpjunction/jobs/records.py
+++ b/kelpjunction/jobs/records.py
@@ -13,7 +13,7 @@
 
 from kelpjunction.jobs.book import END_PREFIX, JOB_PREFIX, RUN_PREFIX, SUM_PREFIX, Book, Chunk, Job
 from kelpjunction.store.client import Ending, StoreClient, Transaction
-from kelpjunction.store.mirror import Mirror
+from kelpjunction.store.mirror import LIVE, Mirror
 from kelpjunction.wire.state import GUARDS_PER_OP, MAX_TXN_BYTES
 
 log = logging.getLogger("jobs")
@@ -58,7 +58,7 @@
             outcome = self._store.apply(txn)
             if outcome.ending is Ending.APPLIED:
                 ended = {k: v for k, v in txn.puts.items() if k.startswith(END_PREFIX)}
-                live = {k: v for k, v in txn.puts.items() if k not in ended}
+                live = {k: v for k, v in txn.puts.items() if k.startswith(LIVE)}
                 self._mirror.put_outcome(live, txn.deletes, outcome.revision)
                 for key, value in ended.items():
                     log.info("job %s: %s", key.removeprefix(END_PREFIX), value["end"])
--- a/kelpjunction/settings.py
+++ b/kelpjunction/settings.py
@@ -1,5 +1,6 @@
 """The platform's settings file (TOML) and the operators' own (JSON with a schema)."""
 
+import math
 import tomllib
 from dataclasses import dataclass
 from datetime import timedelta
@@ -83,6 +84,7 @@
     workers: WorkerTimes
     store: StoreLimits
     cloud: CloudLimits
+    max_sockets: int = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +104,8 @@
 
 
 _NUMBER = {"type": "number", "minimum": 0, "maximum": 1e12}
+_SOME = {"type": "number", "exclusiveMinimum": 0, "maximum": 1e12}
+_ONE_OR_MORE = {"type": "number", "minimum": 1, "maximum": 1e12}
 _NAME = {"type": "string", "minLength": 1, "maxLength": 100}
 _ADDRESS = {"type": "string", "pattern": "^[0-9.]+:[0-9]{1,5}$"}
 
@@ -128,12 +132,19 @@
                     ),
                 },
                 "workers": _object(
-                    dict.fromkeys(("report_s", "lease_s", "gang_wait_s", "gang_peer_s", "cancel_s"), _NUMBER)
+                    dict.fromkeys(("report_s", "lease_s", "gang_wait_s", "gang_peer_s", "cancel_s"), _SOME)
                 ),
-                "state": _object(dict.fromkeys(("rps", "write_rps", "value_kb", "txn_ops"), _NUMBER)),
-                "cloud": _object(dict.fromkeys(("rps", "list_lag_s"), _NUMBER)),
+                # A launch takes a chunk, an end up to three keys: fewer changes a transaction can't work.
+                "state": _object(
+                    dict.fromkeys(("rps", "write_rps", "value_kb"), _ONE_OR_MORE)
+                    | {"txn_ops": {"type": "number", "minimum": 4, "maximum": 1e6}}
+                ),
+                "cloud": _object({"rps": _SOME, "list_lag_s": _NUMBER}),
+            },
+            {
+                "objectives": {"type": "array", "items": _object({}, {"class": _NAME})},
+                "machine_limits": _object({}, {"max_sockets": {"type": "number", "minimum": 100, "maximum": 1e6}}),
             },
-            {"objectives": {"type": "array", "items": _object({}, {"class": _NAME})}},
         ),
     },
     {
@@ -156,6 +167,7 @@
     except fastjsonschema.JsonSchemaValueException as error:
         raise SettingsError(f"{path}: {error.message.removeprefix('data.')}") from error
     params = raw["params"]
+    _check_names(path, raw)
     workers, store, cloud = params["workers"], params["state"], params["cloud"]
     return Platform(
         node=raw["node"],
@@ -177,9 +189,29 @@
         ),
         store=StoreLimits(store["rps"], store["write_rps"], int(store["value_kb"] * 1024), int(store["txn_ops"])),
         cloud=CloudLimits(cloud["rps"], seconds(cloud["list_lag_s"])),
+        max_sockets=int(params.get("machine_limits", {}).get("max_sockets", 1000)),
     )
 
 
+def _check_names(path: str | Path, raw: dict) -> None:
+    """Refuse what the schema can't see: a zone nobody knows, a name that stands twice, a limit below its guarantee."""
+    params = raw["params"]
+    siblings = raw.get("siblings", ())
+    for name, zone in [("zone", raw["zone"]), *((f"siblings: {s['node']}: zone", s["zone"]) for s in siblings)]:
+        if zone not in params["zones"]:
+            raise SettingsError(f"{path}: {name} must be one of params.zones, not {zone!r}")
+    nodes = [raw["node"], *(s["node"] for s in siblings)]
+    teams = [t["name"] for t in params["teams"]]
+    for what, names in (("node", nodes), ("params.teams name", teams)):
+        for name in {n for n in names if names.count(n) > 1}:
+            raise SettingsError(f"{path}: {what} {name!r} stands twice")
+    for team in params["teams"]:
+        for amount in ("cpus", "gpus"):
+            limit = team.get(f"{amount}_max") or math.inf
+            if team.get(amount, 0.0) > limit:
+                raise SettingsError(f"{path}: params.teams: {team['name']}: {amount}_max must be at least {amount}")
+
+
 def _team(raw: dict) -> Team:
     return Team(
         name=raw["name"],
--- a/kelpjunction/transport.py
+++ b/kelpjunction/transport.py
@@ -1,10 +1,12 @@
 """HTTP from this process to others: one JSON request, one JSON reply."""
 
+from collections import Counter, OrderedDict
 from datetime import timedelta
 from typing import NamedTuple, Protocol
 
 import gevent
 import orjson
+from gevent.lock import BoundedSemaphore
 from geventhttpclient.client import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
@@ -27,14 +29,35 @@
 
 
 class HttpTransport:
-    """Keep-alive connections by way of geventhttpclient, a few per address."""
+    """Keep-alive connections by way of geventhttpclient, a few per address.
 
-    def __init__(self, connections: int = 4) -> None:
+    With `most`, at most so many requests are under way at once and about so
+    many addresses keep a connection: a node that serves every machine has as
+    many sockets taken by those that report to it.
+    """
+
+    def __init__(self, connections: int = 4, most: int | None = None) -> None:
         self._connections = connections
-        self._clients: dict[str, HTTPClient] = {}
+        self._most = most
+        self._places = None if most is None else BoundedSemaphore(most)
+        self._clients: OrderedDict[str, HTTPClient] = OrderedDict()  # least recently used first
+        self._busy: Counter[str] = Counter()
 
     def request(self, address: str, method: str, path: str, body: bytes | None, timeout: timedelta) -> Reply:
+        if self._places is not None and not self._places.acquire(timeout=timeout.total_seconds()):
+            raise NoAnswer(f"{method} {address}{path}: too many requests under way")
+        self._busy[address] += 1
+        try:
+            return self._request(address, method, path, body, timeout)
+        finally:
+            self._busy[address] -= 1
+            if self._places is not None:
+                self._places.release()
+                self._let_go()
+
+    def _request(self, address: str, method: str, path: str, body: bytes | None, timeout: timedelta) -> Reply:
         client = self._clients.get(address) or self._connect(address)
+        self._clients.move_to_end(address)
         try:
             with gevent.Timeout(timeout.total_seconds()):
                 headers = {"Content-Type": "application/json"} if body else {}
@@ -48,11 +71,12 @@
                 del self._clients[address]
             raise NoAnswer(f"{method} {address}{path}: {error!r}") from error
 
-    def close(self, address: str) -> None:
-        """Drop the connections to a peer that is gone for good."""
-        client = self._clients.pop(address, None)
-        if client is not None:
-            client.close()
+    def _let_go(self) -> None:
+        """Close the connections that were idle for longest, while there are too many."""
+        self._busy = +self._busy
+        for address in list(self._clients)[: max(0, len(self._clients) - self._most)]:
+            if not self._busy[address]:
+                self._clients.pop(address).close()
 
     def _connect(self, address: str) -> HTTPClient:
         host, _, port = address.rpartition(":")
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -326,7 +326,7 @@
     def start_node(self, name: str) -> Node:
         transport = _Link(self, name)
         node = Node(
-            self.platform(name), self.operators(), transport, transport, self.clock,
+            self.platform(name), self.operators(), transport, transport, transport, self.clock,
             lambda function, *args: function(*args), lambda duration: None, random.Random(self.random.random()),
         )  # fmt: skip
         self.nodes[name] = node
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -1,14 +1,18 @@
 """Settings, the command line, and what users and workers send."""
 
+from datetime import timedelta
 from pathlib import Path
 
+import gevent
 import orjson
 import pytest
 from click.testing import CliRunner
+from gevent.pywsgi import WSGIServer
 from standins import World
 
 from kelpjunction.cli import main
 from kelpjunction.settings import SettingsError, load_operators, load_platform
+from kelpjunction.transport import HttpTransport
 from kelpjunction.wire.users import Malformed, fields_to_keep, parse_job
 from kelpjunction.wire.workers import parse_report
 
@@ -34,6 +38,27 @@
     assert "rounds" in result.output
 
 
+@pytest.mark.parametrize(
+    ("good", "bad", "named"),
+    [
+        ('zone = "a"', 'zone = "nowhere"', "zone must be one of params.zones"),
+        ('zone = "b"', 'zone = "nowhere"', "siblings: holdfast-1: zone"),
+        ('node = "holdfast-2"', 'node = "holdfast-0"', "'holdfast-0' stands twice"),
+        ("write_rps = 100.0", "write_rps = 0", "write_rps"),
+        ("txn_ops = 12", "txn_ops = 0", "txn_ops"),
+        ("report_s = 2.0", "report_s = 0.0", "report_s"),
+        ("rps = 4.0", "rps = 0.0", "rps"),
+        ("cpus_max = 40.0", "cpus_max = 8.0", "red: cpus_max must be at least cpus"),
+    ],
+)
+def test_a_setting_that_cannot_be_right_is_refused_by_name(tmp_path, good, bad, named):
+    text = EXAMPLE.read_text()
+    assert text.count(good) == 1
+    (tmp_path / "bad.toml").write_text(text.replace(good, bad))
+    with pytest.raises(SettingsError, match=named):
+        load_platform(tmp_path / "bad.toml")
+
+
 def test_settings_take_zero_as_no_limit_and_ignore_unknown_fields():
     platform = load_platform(EXAMPLE)
     assert platform.teams["red"].cpus_max == 40.0
@@ -86,3 +111,24 @@
     assert submit(orjson.dumps(GOOD | {"shape": "service", "fronds": 21})).status == 422
     assert submit(orjson.dumps(GOOD | {"fronds": 21})).status == 201
     assert world.nodes["holdfast-2"].intake.status("j-77").status == 404
+
+
+def test_sockets_to_workers_are_bounded_however_many_hang_or_stay_idle():
+    """Found by an incident: one node served every machine and had all its 500 sockets taken."""
+
+    def answer(environ, start_response):
+        start_response("200 OK", [("Content-Length", "2")])
+        return [b"{}"]
+
+    servers = [WSGIServer(("127.0.0.1", 0), answer, log=None) for _ in range(6)]
+    for server in servers:
+        server.start()
+    transport = HttpTransport(2, most=3)
+    addresses = [f"127.0.0.1:{server.server_port}" for server in servers]
+    jobs = [gevent.spawn(transport.request, a, "GET", "/status", None, timedelta(seconds=5)) for a in addresses]
+    gevent.joinall(jobs)
+    assert [job.value.status for job in jobs] == [200] * 6, "they take turns"
+    assert len(transport._clients) == 3
+    assert transport.request(addresses[0], "GET", "/status", None, timedelta(seconds=5)).status == 200
+    for server in servers:
+        server.stop()
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -1,6 +1,7 @@
 """Traces of the safety argument: one or more for each numbered point of docs/design.md."""
 
 from collections import Counter
+from dataclasses import replace
 
 import orjson
 import pytest
@@ -326,6 +327,23 @@
     assert all(w.session == 1 for w, _ in world.cloud.machines.values())
 
 
+def test_cloud_is_not_asked_for_machines_that_no_record_can_tell_of():
+    """Found in a log: a leader asked twice a second for the same machines all through an outage of the store."""
+    world = served(machines=2, capacity=2)
+    world.cloud.out = True
+    world.submit("j-1", 40)
+    assert world.run(10, lambda: any(k.startswith("l/rent/") for k in world.store.data))
+    world.store.outage(True)
+    world.cloud.out = False
+    asked = []
+    world.filter = lambda source, target, path: asked.append(path) if path == "/rentals" else None
+    world.run(10)
+    assert asked == []
+    world.store.outage(False)
+    world.run(30)
+    assert asked != []
+
+
 # 7. Done
 
 
@@ -440,6 +458,23 @@
     assert world.broken == []
 
 
+def test_deficits_of_more_jobs_than_one_transaction_holds_outlive_their_leader():
+    """Found by reading for size: what was over the limit used to be left out."""
+    world = served(machines=0, capacity=0)
+    for n in range(200):
+        world.submit(f"j-{n}")
+    leader = world.leader()
+    assert world.run(5, lambda: len(leader.book.jobs) == 200)
+    leader.store.limits = replace(leader.store.limits, value_bytes=640)  # ten jobs to a key, twelve keys at once
+    for job in leader.book.jobs.values():
+        job.received = seconds(7)
+    assert world.run(15, lambda: len([k for k in world.store.data if k.startswith("s/")]) == 20)
+    world.kill_node(leader.platform.node)
+    assert world.run(10, lambda: world.leader() is not None)
+    world.run(1)
+    assert [j.received for j in world.leader().book.jobs.values()] == [seconds(7)] * 200
+
+
 # Gangs
 
 
