Work that no objective names takes any room once it has waited 5 minutes

Cause, found by reading: an array of a class that the objectives do not name is kept from dear room; where the cheap types are never to be had, it would have waited for ever, and an accepted job must run. Now it may pay any price after five minutes, with a test.

--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -9,7 +9,7 @@
 from kelpjunction.clock import ZERO, Clock, seconds
 from kelpjunction.fleet.demand import Offer, Want, to_rent
 from kelpjunction.fleet.machines import MACHINE_PREFIX, Inventory, Machine, MachineState
-from kelpjunction.jobs.book import Book
+from kelpjunction.jobs.book import Book, Job
 from kelpjunction.leadership import LEAD_KEY, Reign
 from kelpjunction.placement import Budget, cheapest_slot, slots_on, type_fits
 from kelpjunction.settings import Operators, Platform
@@ -28,6 +28,7 @@
 REFUSED_FOR = timedelta(seconds=20)
 CATALOG_EVERY = timedelta(seconds=60)
 MINIMUM_CHARGE = timedelta(seconds=60)
+PATIENCE = timedelta(minutes=5)  # how long work that no objective names waits for cheap room
 
 
 class NoCloud(Exception):
@@ -90,10 +91,15 @@
             self._parsed = (entry.version, wire.parse_catalog(entry.value))
         return self._parsed[1]
 
-    def budget(self, spec: JobSpec, spare: bool = False) -> Budget:
-        """What may be paid for a job's room: several times the least only if an objective names its class."""
-        aimed = self._platform.aimed
-        cheap_only = spare or (spec.shape is Shape.ARRAY and bool(aimed) and spec.klass not in aimed)
+    def budget(self, job: Job, spare: bool = False) -> Budget:
+        """What may be paid for a job's room.
+
+        Several times the least only if an objective names its class, or if it
+        has waited so long that there may be no cheap room at all.
+        """
+        spec, aimed = job.spec, self._platform.aimed
+        unnamed = spec.shape is Shape.ARRAY and bool(aimed) and spec.klass not in aimed
+        cheap_only = spare or (unnamed and self._clock.utc() - job.submitted < PATIENCE)
         key = (spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory)
         catalog = self.catalog
         if self._cheapest[0] is not catalog:
@@ -344,11 +350,11 @@
     def _spare_wants(self) -> list[Want]:
         """Room to keep free, for services first: they can't use spot machines."""
         missing = self._room_wanted() - self._room()
-        samples = {job.spec.spot: job.spec for job in self._book.jobs.values() if job.spec.shape is not Shape.GANG}
+        samples = {job.spec.spot: job for job in self._book.jobs.values() if job.spec.shape is not Shape.GANG}
         return [
-            Want(spec, int(missing / max(spec.cpus, 0.01)), self.budget(spec, spare=True))
-            for _, spec in sorted(samples.items())
-            if missing >= max(spec.cpus, 0.01)
+            Want(job.spec, int(missing / max(job.spec.cpus, 0.01)), self.budget(job, spare=True))
+            for _, job in sorted(samples.items())
+            if missing >= max(job.spec.cpus, 0.01)
         ]
 
     def _repeat_requests(self) -> None:
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -257,7 +257,7 @@
         for zone in sorted({h.zone for _, h in ours}):
             tasks = [(t, h) for t, h in ours if h.zone == zone]
             there = [v for v in able if v.zone == zone]
-            chosen = place(spec, len(tasks), there, Counter(), mates, self._fleet.budget(spec))
+            chosen = place(spec, len(tasks), there, Counter(), mates, self._fleet.budget(job))
             starts += [(task, view, None) for (task, _), view in zip(tasks, chosen, strict=False)]
             left += tasks[len(chosen) :]
         return starts, left
@@ -395,7 +395,7 @@
         for zone in sorted({h.zone for _, h in left}):
             there = [v for v in views if v.zone == zone]
             count = sum(h.zone == zone for _, h in left)
-            count -= len(place(spec, count, there, Counter(), mates, self._fleet.budget(spec)))
+            count -= len(place(spec, count, there, Counter(), mates, self._fleet.budget(job)))
             found = make_room(spec, count, there, victims, Counter())
             for _, chosen in found:
                 for victim in chosen:
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -166,7 +166,7 @@
             (j, n) for j, n in unplaced if j.spec.shape is Shape.SERVICE and n == min(j.waiting_count(), MOST_AT_ONCE)
         ]
         txns += self._hand_where_others_may_stop(services, views, usage)
-        self._fleet.wants = [Want(job.spec, left, self._fleet.budget(job.spec)) for job, left in unplaced]
+        self._fleet.wants = [Want(job.spec, left, self._fleet.budget(job)) for job, left in unplaced]
         if txns:
             self._records.write(txns)
         return bool(txns)
@@ -194,7 +194,7 @@
             zones, mates = spread_of(job)
             refused = self._refused_zones(tasks)
             able = [v for v in views if v.zone not in refused] if refused else views
-            chosen = place(spec, room, able, zones, mates, self._fleet.budget(job.spec))
+            chosen = place(spec, room, able, zones, mates, self._fleet.budget(job))
             if len(chosen) < room and not (refused or spec.spread or spec.one_zone):
                 full.add(needs)
         self._why(job, "" if len(chosen) >= room else "no machine has room")
@@ -327,7 +327,7 @@
             if ref in self._book.gangs and self._stuck(ref):
                 continue
             for zone, count in Counter(h.zone for _, h in job.pending()).items():
-                place(job.spec, count, by_zone.get(zone, ()), Counter(), Counter(), self._fleet.budget(job.spec))
+                place(job.spec, count, by_zone.get(zone, ()), Counter(), Counter(), self._fleet.budget(job))
         return views
 
     def _hand_where_others_may_stop(
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -344,6 +344,19 @@
     assert asked != []
 
 
+def test_work_that_no_objective_names_takes_any_room_once_it_has_waited_long():
+    """An accepted job must run, also where there is no cheap room at all."""
+    world = served(machines=0, capacity=0)
+    world.submit("j-1")
+    world.run(1)
+    fleet, job = world.leader().fleet, world.leader().book.jobs["j-1"]
+    assert not fleet.budget(job).cheap_only, "without objectives every class counts"
+    fleet._platform = replace(fleet._platform, aimed=frozenset({"portal"}))
+    assert fleet.budget(job).cheap_only
+    world.clock.now += seconds(301)
+    assert not fleet.budget(job).cheap_only
+
+
 # 7. Done
 
 
