--- a/tests/costs.py
+++ b/tests/costs.py
@@ -48,6 +48,9 @@
         report["tally"] += 1
         assert holder.check_in(orjson.dumps(report))[0] == 200
 
+    key = "l/run/j-100000/0"
+    record = holder.mirror.get(key).value
+    versions = iter(range(10**9, 10**9 + 1000))
     refs = iter(range(10_000))
     return {
         "machines": machines,
@@ -55,6 +58,7 @@
         "tasks placed": sum(j.placed_count() for j in leader.book.jobs.values()),
         "check-in": timed(check_in, 200),
         "poll": timed(lambda: holder.intake.status("j-100000"), 200),
+        "followed change of a chunk": timed(lambda: holder.mirror.put(key, record, next(versions)), 200),
         "holder's idle round": timed(holder.holding.round, 50),
         "leader's idle round": timed(leader.leading.round, 50),
         "leader's round with jobs that wait": _with_waiting(world, leader),
