Look at oneself before blaming machines: cuts, absences and deaf holders

Change: a holder with only silent workers asks three machines of any block and tells in its member key when it reaches none; the leader then grants its blocks elsewhere. Before a return, a silent machine's neighbours are asked. Names whose return is confirmed are remembered and late reports of them refused. Silence is counted from when this process last stood still, and nothing is judged while the state service is not heard.

--- a/kelpjunction/blocks/__init__.py
+++ b/kelpjunction/blocks/__init__.py
@@ -104,7 +104,12 @@
         return self._write(holders, {}) if holders else True
 
     def assign(self, reign: Reign, zones: list[str], members: dict[str, dict]) -> None:
-        """As leader, grant each block without a live holder, and level blocks out among the live nodes."""
+        """As leader, grant each block without a live holder, and level blocks out among the live nodes.
+
+        A node that reaches no machine counts as little as a dead one, unless
+        all are so: it would let the leases of its workers run out.
+        """
+        members = {n: m for n, m in members.items() if not m.get("deaf")} or members
         load = Counter(dict.fromkeys(members, 0))
         lacking = []
         for zone in zones:
--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -11,7 +11,7 @@
 from gevent.pywsgi import WSGIServer
 
 from kelpjunction.blocks import BLOCK_PREFIX, Blocks
-from kelpjunction.clock import ZERO, Clock, SystemClock, seconds
+from kelpjunction.clock import BEAT, ZERO, Clock, Presence, SystemClock, seconds
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.fleet.machines import Inventory
 from kelpjunction.fleet.watch import Watch
@@ -61,6 +61,7 @@
     ) -> None:
         self.platform = platform
         self.wake = Event()
+        self.presence = Presence(clock)
         self.store = StoreClient(transport, platform.store_address, platform.store, clock, pause, WRITE_SHARE)
         self.mirror = Mirror(self.store, clock, follow_transport)
         self.book = Book()
@@ -78,8 +79,20 @@
         )
         self.inventory = Inventory(self.mirror, self.blocks, clock)
         self.watch = Watch(
-            platform.workers, self.store, self.mirror, self.blocks, self.book, self.roster, self.inventory, clock, spawn
+            platform.workers,
+            self.store,
+            self.mirror,
+            self.blocks,
+            self.book,
+            self.roster,
+            self.inventory,
+            clock,
+            self.presence,
+            spawn,
+            random_source,
         )
+        self.leadership.is_deaf = lambda: self.watch.deaf
+        self.watch.on_deaf = self.leadership.step
         self.fleet = Fleet(
             platform, operators, self.store, self.mirror, self.book, self.inventory, transport, clock, pause
         )
@@ -127,6 +140,8 @@
     def check_in(self, body: bytes) -> tuple[int, bytes]:
         """Answer a worker's report, or send the worker to whom it belongs."""
         report = workers.parse_report(body)
+        if self.inventory.gone(report.machine):
+            return 503, b"{}"  # held up in a cut: there is no such machine any more
         holder = self.blocks.holder(report.zone)
         if self.blocks.mine(report.zone) is None:
             return 421, workers.redirect_answer(None if holder == self.platform.node else holder)
@@ -189,7 +204,7 @@
         users.start()
         peers.start()
         log.info("%s serves users and workers on %s", self._platform.node, self._platform.listen)
-        loops = [self._follow, self._lead, self._rounds, self._cloud, self._watch, self._peers]
+        loops = [self._follow, self._lead, self._rounds, self._cloud, self._watch, self._peers, self._beat]
         # A loop that ends has a defect; the node goes on without hiding it.
         gevent.joinall([gevent.spawn(self._guard, loop) for loop in loops])
 
@@ -246,6 +261,10 @@
         self.node.watch.step()
         sleep(seconds(0.5))
 
+    def _beat(self) -> None:
+        self.node.presence.beat()
+        sleep(BEAT)
+
     def _peers(self) -> None:
         """While out of touch, ask the siblings whether they are too."""
         sleep(PEER_EVERY)
--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -67,7 +67,6 @@
         self._refused: dict[Offer, timedelta] = {}
         self._catalog_at: timedelta | None = None
         self._listed_at: timedelta | None = None
-        self._gone: dict[str, timedelta] = {}
         self.wants: list[Want] = []
         self._scarce: dict[tuple, tuple[JobSpec, timedelta]] = {}
         self._wanted: deque[tuple[timedelta, Counter]] = deque()
@@ -119,7 +118,7 @@
         # Kept past the reign's end: a step may be waiting for an answer then.
         self._term, self._began = reign.term, reign.began
         self._requests = 0
-        self._refused, self._gone, self._scarce = {}, {}, {}
+        self._refused, self._scarce = {}, {}
         self._listed_at = self._catalog_at = None
         self._wanted.clear()
 
@@ -190,11 +189,9 @@
                 break
             after = page[-1].machine
         now = self._listed_at = self._clock.steady()
-        # The list lags: what was returned a moment ago may still be on it.
-        self._gone = {n: t for n, t in self._gone.items() if now - t < seconds(120)}
         for entry in listed.values():
-            if entry.machine in self._gone:
-                continue
+            if self._inventory.gone(entry.machine):
+                continue  # the list lags
             machine = self._inventory.adopt(entry.machine, entry.type, entry.zone, entry.spot, entry.address)
             machine.rented_at = min(machine.rented_at, now - entry.age)
             if entry.state == "failed" and machine.state is not MachineState.RETURNING:
@@ -231,8 +228,6 @@
         if records and not self._write(records):
             return
         self._call("POST", wire.RETURN_PATH, wire.return_body(names))
-        for name in names:
-            self._gone[name] = now
         # The deletion is what tells the block's holder that everything on
         # the machine is gone.
         self._write({}, [MACHINE_PREFIX + name for name in names])
--- a/kelpjunction/fleet/machines.py
+++ b/kelpjunction/fleet/machines.py
@@ -1,6 +1,7 @@
 """Machines, their states, and every node's inventory of them."""
 
 import logging
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -13,6 +14,7 @@
 log = logging.getLogger("fleet")
 
 MACHINE_PREFIX = "l/machine/"
+REMEMBERED = 10_000
 
 
 class MachineState(Enum):
@@ -86,10 +88,18 @@
         self._blocks = blocks
         self._clock = clock
         self.machines: dict[str, Machine] = {}
+        # Machines that the cloud confirmed as gone.  Their names never come
+        # back, but reports that a cut held up and lists that lag still tell
+        # of them: without this, work would be placed on nothing.
+        self._gone: OrderedDict[str, None] = OrderedDict()
         self.on_gone: Callable[[str], None] = lambda machine: None
         self.on_change: Callable[[], None] = lambda: None  # a machine became usable or stopped being so
         mirror.listen(MACHINE_PREFIX, self._changed)
 
+    def gone(self, name: str) -> bool:
+        """Whether a machine was returned: whatever still tells of it is late."""
+        return name in self._gone
+
     def adopt(self, name: str, type_: str, zone: str, spot: bool, address: str) -> Machine:
         """The machine of this name, known from now on if it was not."""
         machine = self.machines.get(name)
@@ -105,6 +115,9 @@
         if value is None:
             # The leader deletes the record once the cloud has confirmed that
             # the machine, and everything on it, is gone.
+            self._gone[name] = None
+            if len(self._gone) > REMEMBERED:
+                self._gone.popitem(last=False)
             machine = self.machines.pop(name, None)
             if machine is not None:
                 machine.become(MachineState.GONE, self._clock.steady(), "returned")
--- a/kelpjunction/fleet/watch.py
+++ b/kelpjunction/fleet/watch.py
@@ -1,12 +1,18 @@
-"""What a holder sees of its block's machines: up, silent, faulty; and tells the others."""
+"""What a holder sees of its block's machines: up, silent, faulty; and tells the others.
+
+Before a machine is blamed for its silence this node looks at itself: whether
+it stood still, whether it hears the state service, whether it reaches any
+machine at all, and whether the machine's neighbours answer.
+"""
 
 import logging
+import random
 from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 
 from kelpjunction.blocks import Blocks, block_key
-from kelpjunction.clock import ZERO, Clock, seconds
+from kelpjunction.clock import ZERO, Clock, Presence, seconds
 from kelpjunction.fleet.machines import MACHINE_PREFIX, Inventory, Machine, MachineState
 from kelpjunction.jobs.book import Book, Placement
 from kelpjunction.settings import WorkerTimes
@@ -18,6 +24,8 @@
 log = logging.getLogger("fleet")
 
 IMAGES_EVERY = timedelta(seconds=2)
+PROBED = 3
+HEARS_AGAIN_AFTER = 3  # probes in turn that a deaf node must see answered
 
 
 class Watch:
@@ -33,7 +41,9 @@
         roster: Roster,
         inventory: Inventory,
         clock: Clock,
+        presence: Presence,
         spawn: Callable,
+        random_source: random.Random,
     ) -> None:
         self._times = times
         self._store = store
@@ -43,8 +53,15 @@
         self._roster = roster
         self._inventory = inventory
         self._clock = clock
+        self._presence = presence
         self._spawn = spawn
+        self._random = random_source
         self._published_at = ZERO
+        self._asking = 0  # machines that a probe still waits for
+        self._reached = False
+        self._answers = 0  # probes in turn that were answered
+        self.deaf = False  # whether this node reaches no machine, though it hears the state service
+        self.on_deaf: Callable[[], None] = lambda: None
         self.changed = False  # whether a machine's state is to be told at once
         roster.on_seen = self._seen
         roster.on_exit = self._exited
@@ -112,30 +129,76 @@
     def step(self) -> None:
         """Find machines of our blocks that fell silent, and tell the others how ours are."""
         now = self._clock.steady()
+        self._presence.beat()
+        if not self._mirror.fresh:
+            return  # these machines may be another's by now
         limit = self._times.report * 1.25 + seconds(1)
-        for machine in self.mine():
+        mine = [m for m in self.mine() if m.state not in (MachineState.BOOTING, MachineState.RETURNING)]
+        for machine in mine:
             worker = self._roster.workers.get(machine.name)
             heard_at = worker.heard_at if worker else self._blocks.mine(machine.zone).since
-            if now - heard_at <= limit or machine.state in (MachineState.BOOTING, MachineState.RETURNING):
+            # While this node stood still, nobody could be heard.
+            if now - max(heard_at, self._presence.since) <= limit:
                 continue
             if machine.state in (MachineState.UP, MachineState.LEAVING):
                 machine.become(MachineState.SILENT, now, "no report")
             self._spawn(self._visit_silent, machine)
+        if self.deaf or (mine and all(m.state is MachineState.SILENT for m in mine)):
+            self._probe()
         self.publish()
 
     def _visit_silent(self, machine: Machine) -> None:
+        asked_at = self._clock.steady()
         if self._roster.visit(machine.address) or self._blocks.mine(machine.zone) is None:
             return
+        if self._presence.since > asked_at:
+            return  # the answer may have come while this node stood still
         machine.silent_visits += 1
-        now = self._clock.steady()
-        cut = self._looks_cut(machine.zone)
+        if machine.silent_visits < 2 or self.deaf:
+            return
         end = self._roster.lease_end(machine.name, machine.zone)
-        over = end is not None and now > end + seconds(30)
-        if machine.silent_visits >= 2 and (not cut or over):
-            machine.become(MachineState.RETURNING, now, "it does not answer")
+        over = end is not None and self._clock.steady() > end + seconds(30)
+        if over or not self._looks_cut(machine.zone):
+            machine.become(MachineState.RETURNING, self._clock.steady(), "it does not answer")
+
+    def _probe(self) -> None:
+        """Find out whether this node reaches any machine at all, in whatever block."""
+        if self._asking:
+            return
+        there = [m for m in self._inventory.machines.values() if m.address and m.state is not MachineState.RETURNING]
+        up = [m for m in there if m.state is MachineState.UP] or there
+        some = self._random.sample(up, min(PROBED, len(up)))
+        self._asking, self._reached = len(some), False
+        for machine in some:
+            self._spawn(self._ask, machine)
+
+    def _ask(self, machine: Machine) -> None:
+        reached = self._roster.visit(machine.address)
+        self._asking -= 1
+        self._reached = self._reached or reached
+        if not self._asking:
+            self._answers = self._answers + 1 if self._reached else 0
+            if not self._answers and not self.deaf and self._mirror.fresh:
+                self._hear(deaf=True)
+            elif self.deaf and self._answers >= HEARS_AGAIN_AFTER:
+                self._hear(deaf=False)
+
+    def _hear(self, deaf: bool) -> None:
+        """The one place where `deaf` changes."""
+        self.deaf = deaf
+        log.info("this node reaches %s", "no machine: its blocks should be another's" if deaf else "machines again")
+        self.on_deaf()
 
     def _looks_cut(self, zone: str) -> bool:
-        """Whether many are silent at once: like a cut, not like machines that died; their leases are waited for."""
+        """Whether a silent machine's neighbours are silent too, or many are at once.
+
+        That is like a cut, not like machines that died.  Tasks in a cut zone
+        go on until their leases end, so the leases are waited for.
+        """
+        near = [m for m in self.mine() if m.zone == zone and m.state is MachineState.UP]
+        if near:
+            some = self._random.sample(near, min(PROBED, len(near)))
+            return not any(self._roster.visit(m.address) for m in some)
         machines = self._inventory.machines.values()
         there = sum(m.zone == zone for m in machines)
         silent = Counter(m.zone for m in machines if m.state is MachineState.SILENT)
--- a/kelpjunction/intake/__init__.py
+++ b/kelpjunction/intake/__init__.py
@@ -26,7 +26,6 @@
 
 REMEMBERED = 20_000
 RETRY_AFTER = timedelta(seconds=1)
-STALE_AFTER = timedelta(seconds=4)
 TRIES = 4
 
 
@@ -215,8 +214,7 @@
     @property
     def fresh(self) -> bool:
         """Whether this node has heard the state service's news lately."""
-        fresh_at = self._mirror.fresh_at
-        return fresh_at is not None and self._clock.steady() - fresh_at < STALE_AFTER
+        return self._mirror.fresh
 
     def healthy(self) -> bool:
         """Not healthy while starting, nor while this node alone is out of touch.
--- a/kelpjunction/leadership/__init__.py
+++ b/kelpjunction/leadership/__init__.py
@@ -67,7 +67,7 @@
         on_change: Callable[[Reign | None], None],
     ) -> None:
         self._node = platform.node
-        self._member = {"zone": platform.zone, "incarnation": incarnation}
+        self._identity = {"zone": platform.zone, "incarnation": incarnation}
         self._length = operators.hold
         self._store = store
         self._mirror = mirror
@@ -78,6 +78,7 @@
         self.grace = answering_grace(platform, operators)
         self.standing = Standing.OUTSIDE
         self.reign: Reign | None = None
+        self.is_deaf: Callable[[], bool] = lambda: False  # whether this node reaches no machine
         self.members: dict[str, dict] = {}  # the nodes that are alive: their zones and incarnations
         mirror.listen(LEAD_KEY, self._lead_changed)
         mirror.listen(MEMBER_PREFIX, self._member_changed)
@@ -109,6 +110,9 @@
                 self._join()
             else:
                 self._extend()
+                told = self._mirror.get(MEMBER_PREFIX + self._node)
+                if self.standing is not Standing.OUTSIDE and (told is None or told.value != self._member):
+                    self._tell(self._hold)
             if self.standing is Standing.FOLLOWER and self._mirror.get(LEAD_KEY) is None:
                 self._run_for_leader()
         except StoreDown as error:
@@ -126,13 +130,23 @@
     def _join(self) -> None:
         """Become a member under a new hold."""
         hold = self._store.take_hold(self._length)
-        key = MEMBER_PREFIX + self._node
-        outcome = self._store.commit({}, {key: self._member}, holds={key: hold})
-        if outcome.ending is Ending.APPLIED:
+        if self._tell(hold):
             self._hold = hold
-            self._mirror.put(key, self._member, outcome.revision)
             self._stand(Standing.FOLLOWER, "member")
 
+    def _tell(self, hold: int) -> bool:
+        """Write this node's member key."""
+        key, member = MEMBER_PREFIX + self._node, self._member
+        outcome = self._store.commit({}, {key: member}, holds={key: hold})
+        if outcome.ending is Ending.APPLIED:
+            self._mirror.put(key, member, outcome.revision)
+        return outcome.ending is Ending.APPLIED
+
+    @property
+    def _member(self) -> dict:
+        """Who this node is, and whether it reaches no machine."""
+        return self._identity | ({"deaf": True} if self.is_deaf() else {})
+
     def _run_for_leader(self) -> None:
         entry = self._mirror.get(TERM_KEY)
         term = (entry.value if entry else 0) + 1
--- a/kelpjunction/store/mirror.py
+++ b/kelpjunction/store/mirror.py
@@ -20,6 +20,7 @@
 log = logging.getLogger("store")
 
 FOLLOW_WAIT = timedelta(seconds=2)
+STALE_AFTER = timedelta(seconds=4)
 LIVE = "l/"
 
 
@@ -40,6 +41,11 @@
     def loaded(self) -> bool:
         return self.revision is not None
 
+    @property
+    def fresh(self) -> bool:
+        """Whether this node has heard the state service's news lately."""
+        return self.fresh_at is not None and self._clock.steady() - self.fresh_at < STALE_AFTER
+
     def listen(self, prefix: str, listener: Callable[[str, Any, int], None]) -> None:
         """Call `listener(key, value, version)` for each change below a prefix."""
         self._listeners.append((prefix, listener))
--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -14,12 +14,20 @@
         self.refs: list[str] = []
         self.loss = 0.0
         self.world.filter = self._fate
+        self.pause: tuple[str, float] | None = None  # a node that stands still at a request it sends soon
+        self.world.stand_still = self._pause
 
     def _fate(self, source: str, target: str, path: str) -> str | None:
         if path == "/follow" or self.random.random() >= self.loss:
             return None
         return self.random.choice(["held", "lost", "answer lost"])
 
+    def _pause(self, source: str, target: str, path: str) -> float:
+        if self.pause is None or self.pause[0] != source or self.random.random() < 0.7:
+            return 0.0
+        (_, duration), self.pause = self.pause, None
+        return duration
+
     def play(self, after_step: Callable[[World], None], steps: int = 60) -> World:
         """Play the schedule, with a look at the world after each step, then let everything recover."""
         world = self.world
@@ -39,6 +47,7 @@
         return [
             self._submit, self._submit, self._submit, self._abort, self._kill_node, self._start_nodes,
             self._cut_store, self._heal, self._outage, self._worker_cut, self._worker_dies, self._noise, self._spot,
+            self._freeze,
         ]  # fmt: skip
 
     def _submit(self) -> None:
@@ -66,6 +75,9 @@
     def _kill_node(self) -> None:
         self.world.kill_node(self.random.choice(list(self.world.nodes)))
 
+    def _freeze(self) -> None:
+        self.pause = (self.random.choice(list(self.world.nodes)), self.random.choice([1.0, 3.0, 8.0, 20.0, 45.0]))
+
     def _start_nodes(self) -> None:
         for name, node in self.world.nodes.items():
             if node is None:
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -2,7 +2,8 @@
 
 They speak the published protocol and can drop requests or answers, refuse,
 and hold requests back to carry them out later.  `World` runs whole nodes
-against them and checks the rules at every start of a task.
+against them, can make one stand still at any request it sends, and checks the
+rules at every start of a task.
 """
 
 import heapq
@@ -301,6 +302,10 @@
         self.held_for = (1.0, 25.0)
         self.cut_from_store: set[str] = set()
         self.filter: Callable[[str, str, str], str | None] = lambda source, target, path: None
+        # How long a node stands still before this request leaves it, if at all.
+        self.stand_still: Callable[[str, str, str], float] = lambda source, target, path: 0.0
+        self.frozen: set[str] = set()
+        self._waiting: dict[str, list[Callable]] = {}  # packets for nodes that stand still
         self.nodes: dict[str, Node | None] = {}
         for i in range(machines):
             self.cloud.add(self.zones[i % 3], False, self.clock.now)
@@ -335,6 +340,18 @@
     def kill_node(self, name: str) -> None:
         self.nodes[name] = None
 
+    def freeze(self, name: str, duration: float) -> None:
+        """Let a node stand still while all else goes on; then it goes on where it was, with what it believed."""
+        if name in self.frozen:
+            return
+        node = self.nodes[name]
+        self.frozen.add(name)
+        self.run(duration)
+        self.frozen.discard(name)
+        for packet in self._waiting.pop(name, ()):
+            if self.nodes[name] is node is not None:
+                packet()
+
     def leader(self) -> Node | None:
         for node in self.nodes.values():
             if node is not None and node.leadership.reign is not None:
@@ -345,6 +362,12 @@
 
     def deliver(self, source: str, address: str, method: str, path: str, body: dict) -> Reply:
         """One request of a node: what happens to it is up to `filter`."""
+        pause = self.stand_still(source, address, path)
+        if pause:
+            node = self.nodes[source]
+            self.freeze(source, pause)
+            if self.nodes[source] is not node:
+                raise NoAnswer("the process was killed meanwhile")
         if address == STORE and source in self.cut_from_store:
             return Reply(503, {})
         handler = self._handler(address)
@@ -376,7 +399,12 @@
         node = self.nodes.get(name)
         if node is None or worker.cut or self.filter(worker.name, name, "/checkin"):
             raise NoAnswer("no node there")
-        status, answer = node.check_in(orjson.dumps(fields))
+        body = orjson.dumps(fields)
+        if name in self.frozen:
+            # The report waits in the node's socket; its answer will be too late.
+            self._waiting.setdefault(name, []).append(lambda: node.check_in(body))
+            raise NoAnswer("the node stands still")
+        status, answer = node.check_in(body)
         return status, orjson.loads(answer)
 
     # -- users ----------------------------------------------------------------
@@ -424,7 +452,7 @@
     def _any(self, name: str | None) -> Node:
         if name is not None:
             return self.nodes[name]
-        return self.random.choice([n for n in self.nodes.values() if n is not None])
+        return self.random.choice([n for name, n in self.nodes.items() if n is not None and name not in self.frozen])
 
     def _unfinished(self, ref: str) -> list[str]:
         if self.jobs[ref]["shape"] == "ensemble":
@@ -501,7 +529,7 @@
             for worker, _ in list(self.cloud.machines.values()):
                 worker.step()
             for node in list(self.nodes.values()):
-                if node is not None:
+                if node is not None and node.platform.node not in self.frozen:
                     self._step_node(node, beat)
             for ref in {f.partition("/")[0] for f, _ in self.running()}:
                 self._check_cancelled(ref)
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -488,6 +488,132 @@
     assert [j.received for j in world.leader().book.jobs.values()] == [seconds(7)] * 200
 
 
+# A node that stood still, or reaches only half
+
+
+def test_holder_that_stood_still_blames_no_machine_and_is_fenced():
+    """Its own absence looks as if all its workers had fallen silent."""
+    world = served()
+    world.submit("j-1", 6, shape="service", urgency="prod", cpus=1.0)
+    assert world.run(10, lambda: len(world.running("j-1")) == 6)
+    before = world.running("j-1")
+    for name in list(world.nodes):
+        world.freeze(name, 12)
+        world.run(8)
+    assert world.running("j-1") == before
+    assert len(world.cloud.machines) == 6, "no machine was returned"
+    assert sorted(len(n.blocks.my_zones()) for n in world.nodes.values()) == [1, 1, 1]
+    assert world.broken == []
+
+
+def test_holder_that_stood_still_in_an_outage_takes_no_machine_for_silent_on_its_return():
+    """Its hold outlives the outage, so its blocks are still its own; but it heard nobody for as long."""
+    world = served()
+    holder = world.leader()
+    world.store.outage(True)
+    world.filter = lambda source, target, path: "lost" if path in ("/checkin", "/status") else None  # nothing came in
+    world.freeze(holder.platform.node, 10)
+    world.store.outage(False)
+    holder.follow()
+    holder.watch.step()
+    assert holder.watch.mine()
+    assert all(m.usable for m in holder.watch.mine())
+
+
+@pytest.mark.parametrize("path", ["/commands", "/commit"])
+def test_launch_by_a_holder_that_stood_still_between_deciding_and_sending(path):
+    """The start was committed, or about to be, when the holder stood still; others took its block meanwhile."""
+    world = served()
+    holder, launch = handed(world, "j-1")
+    name = holder.platform.node
+    asleep = []
+
+    def pause(source, target, at):
+        if source != name or at != path or asleep:
+            return 0.0
+        asleep.append(at)
+        for node in world.nodes.values():
+            del node.holding.round  # holders start things again
+        return 30.0
+
+    world.stand_still = pause
+    launch()
+    assert asleep == [path]
+    world.run(40)
+    assert world.poll("j-1") == "done"
+    assert world.broken == []
+
+
+def test_abort_while_the_holder_stands_still_before_its_start_leaves():
+    world = served()
+    holder, launch = handed(world, "j-1")
+    other = next(n for n in world.nodes.values() if n is not holder)
+    world.stand_still = lambda source, target, path: 20.0 if path == "/commands" and not world.frozen else 0.0
+    told = []
+    freeze = world.freeze
+
+    def freeze_and_abort(name, duration):
+        told.append(world.abort("j-1", node=other.platform.node))
+        freeze(name, duration)
+
+    world.freeze = freeze_and_abort
+    launch()
+    world.stand_still = lambda *_: 0.0
+    assert told == [200]
+    world.run(60)
+    assert world.running("j-1") == []
+    assert world.broken == []
+
+
+def test_holder_that_reaches_no_worker_gives_its_blocks_up_and_gets_them_back():
+    """Found by an incident: a controller cut from the workers kept its blocks until their leases had ended."""
+    world = served(machines=9, capacity=9)
+    world.submit("j-1", 6, shape="service", urgency="prod", cpus=1.0)
+    assert world.run(10, lambda: len(world.running("j-1")) == 6)
+    before = world.running("j-1")
+    deaf = world.leader().platform.node
+    machines = {w.address for w, _ in world.cloud.machines.values()}
+    world.filter = lambda source, target, path: (
+        "lost" if (source == deaf and target in machines) or target == deaf else None
+    )
+    world.run(12)
+    assert world.nodes[deaf].blocks.my_zones() == []
+    world.run(30)
+    assert world.running("j-1") == before, "no lease ended"
+    assert len(world.cloud.machines) == 9, "and no machine was blamed"
+    world.filter = lambda *_: None
+    assert world.run(20, lambda: world.nodes[deaf].blocks.my_zones() != [])
+    assert world.broken == []
+
+
+def test_report_that_a_cut_held_up_does_not_bring_a_returned_machine_back():
+    """Found by an incident: a cut zone's late reports made machines of it that were gone look up again."""
+    world = served()
+    worker = next(iter(world.cloud.machines.values()))[0]
+    late = orjson.dumps(worker.report())
+    worker.alive = False
+    assert world.run(15, lambda: worker.name not in world.cloud.machines)
+    world.run(1)
+    for node in world.nodes.values():
+        assert node.check_in(late)[0] != 200
+        assert worker.name not in node.inventory.machines
+
+
+def test_machines_of_a_cut_zone_are_not_returned_one_after_the_other():
+    """Found by an incident: reports stop within some seconds of one another, so the first looked like deaths."""
+    world = served(machines=15, capacity=15)
+    cut = [w for w, _ in world.cloud.machines.values() if w.zone == "b"]
+    for n, worker in enumerate(cut):
+        worker.next_report += seconds(0.4 * n)
+        worker.cut = True
+    world.run(20)
+    assert len(world.cloud.machines) == 15
+    for worker in cut:
+        worker.cut = False
+    world.run(20)
+    assert all(m.usable for m in world.leader().inventory.machines.values())
+
+
 # Gangs
 
 
