Tell wrong jobs from faulty machines by evidence kept in the jobs' records

Change: the chunk record says how often and on which machines its tasks failed. A job that failed on three machines (a gang or a single task: two) and never ended well is tried one task at a time, after 4 s and then ever more rarely up to 60 s; no room is rented, kept or made for it, by no node. A machine is faulty once a job that ends well elsewhere failed on it, or two jobs that failed nowhere else, unless something ended well on it since.

Ruled out: blaming by the machine alone; the first wave of a wrong array covers tens of good machines.

--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -17,6 +17,7 @@
 from kelpjunction.fleet.watch import Watch
 from kelpjunction.http import Application, PeerApplication, ask_peer
 from kelpjunction.intake import Intake
+from kelpjunction.jobs.blame import Blame
 from kelpjunction.jobs.book import JOB_PREFIX, RUN_PREFIX, Book
 from kelpjunction.jobs.holding import Holding
 from kelpjunction.jobs.leading import Leading
@@ -65,6 +66,7 @@
         self.store = StoreClient(transport, platform.store_address, platform.store, clock, pause, WRITE_SHARE)
         self.mirror = Mirror(self.store, clock, follow_transport)
         self.book = Book()
+        blame = Blame(self.book, clock)
         self.mirror.listen(LIVE, self.book.changed)
         # What all nodes' watches and comparisons may take of the store's rate of requests, each.
         self.request_rate = platform.store.rps * REQUEST_SHARE / (len(platform.siblings) + 1)
@@ -87,6 +89,7 @@
             self.roster,
             self.inventory,
             clock,
+            blame,
             self.presence,
             spawn,
             random_source,
@@ -94,12 +97,12 @@
         self.leadership.is_deaf = lambda: self.watch.deaf
         self.watch.on_deaf = self.leadership.step
         self.fleet = Fleet(
-            platform, operators, self.store, self.mirror, self.book, self.inventory, transport, clock, pause
+            platform, operators, self.store, self.mirror, self.book, blame, self.inventory, transport, clock, pause
         )
         self.intake = Intake(platform, self.store, self.mirror, self.verifier, self.book, self.fleet, clock)
         self.records = Records(self.store, self.mirror, self.book, self.intake.remember)
         self.holding = Holding(
-            platform, operators, self.records, self.book, self.blocks, self.roster, self.fleet, clock
+            platform, operators, self.records, self.book, self.blocks, self.roster, self.fleet, blame, clock
         )
         self.leading = Leading(
             platform,
@@ -111,6 +114,7 @@
             self.leadership,
             self.blocks,
             self.fleet,
+            blame,
             clock,
         )
         self.blocks.on_gain = self._gain
--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -9,6 +9,7 @@
 from kelpjunction.clock import ZERO, Clock, seconds
 from kelpjunction.fleet.demand import Offer, Want, to_rent
 from kelpjunction.fleet.machines import MACHINE_PREFIX, Inventory, Machine, MachineState
+from kelpjunction.jobs.blame import Blame
 from kelpjunction.jobs.book import Book, Job
 from kelpjunction.leadership import LEAD_KEY, Reign
 from kelpjunction.placement import Budget, cheapest_slot, slots_on, type_fits
@@ -45,6 +46,7 @@
         store: StoreClient,
         mirror: Mirror,
         book: Book,
+        blame: Blame,
         inventory: Inventory,
         transport: Transport,
         clock: Clock,
@@ -55,6 +57,7 @@
         self._store = store
         self._mirror = mirror
         self._book = book
+        self._blame = blame
         self._inventory = inventory
         self._transport = transport
         self._clock = clock
@@ -307,7 +310,9 @@
     def _room_wanted(self) -> float:
         """CPUs to have: what is in use or waits, and a share to spare."""
         used = sum(
-            (job.spec.tasks - job.done_count()) * job.spec.cpus for job in self._book.jobs.values() if not job.cancelled
+            (job.spec.tasks - job.done_count()) * job.spec.cpus
+            for job in self._book.jobs.values()
+            if not job.cancelled and not self._blame.wrong(job)
         )
         return used * (1 + self._operators.spare_share)
 
@@ -345,7 +350,11 @@
     def _spare_wants(self) -> list[Want]:
         """Room to keep free, for services first: they can't use spot machines."""
         missing = self._room_wanted() - self._room()
-        samples = {job.spec.spot: job for job in self._book.jobs.values() if job.spec.shape is not Shape.GANG}
+        samples = {
+            job.spec.spot: job
+            for job in self._book.jobs.values()
+            if job.spec.shape is not Shape.GANG and not self._blame.wrong(job)
+        }
         return [
             Want(job.spec, int(missing / max(job.spec.cpus, 0.01)), self.budget(job, spare=True))
             for _, job in sorted(samples.items())
--- a/kelpjunction/fleet/machines.py
+++ b/kelpjunction/fleet/machines.py
@@ -46,7 +46,8 @@
     rented_at: timedelta = ZERO
     idle_since: timedelta | None = None
     images: list[str] = field(default_factory=list)  # most recently used last
-    failed_jobs: set[str] = field(default_factory=set)
+    cleared_of: set[str] = field(default_factory=set)  # jobs that failed here before something ended well here
+    suspected: bool = False
     silent_visits: int = 0
 
     def become(self, state: MachineState, now: timedelta, why: str = "") -> bool:
--- a/kelpjunction/fleet/watch.py
+++ b/kelpjunction/fleet/watch.py
@@ -14,6 +14,7 @@
 from kelpjunction.blocks import Blocks, block_key
 from kelpjunction.clock import ZERO, Clock, Presence, seconds
 from kelpjunction.fleet.machines import MACHINE_PREFIX, Inventory, Machine, MachineState
+from kelpjunction.jobs.blame import Blame
 from kelpjunction.jobs.book import Book, Placement
 from kelpjunction.settings import WorkerTimes
 from kelpjunction.store.client import Ending, StoreClient
@@ -41,6 +42,7 @@
         roster: Roster,
         inventory: Inventory,
         clock: Clock,
+        blame: Blame,
         presence: Presence,
         spawn: Callable,
         random_source: random.Random,
@@ -53,6 +55,7 @@
         self._roster = roster
         self._inventory = inventory
         self._clock = clock
+        self._blame = blame
         self._presence = presence
         self._spawn = spawn
         self._random = random_source
@@ -95,36 +98,27 @@
             self._inventory.on_change()
 
     def _exited(self, placement: Placement) -> None:
-        """Weigh who is to blame for a failed task: its machine or its job."""
+        """A task that ended well clears its machine of what failed there before, until it fails there again."""
         machine = self._inventory.machines.get(placement.machine)
         if machine is None:
             return
-        if placement.cause is Cause.DONE or placement.cause is Cause.STOPPED:
-            machine.failed_jobs.clear()
-            return
-        if placement.cause is not Cause.ERROR:
-            return
-        job = self._book.jobs.get(placement.task.ref)
-        if job is None:
-            return
-        now = self._clock.steady()
-        job.errors[machine.name] = job.errors.get(machine.name, 0) + 1
-        if len(job.errors) >= 3 and not job.done_count():
-            # It fails wherever it is put: the job is wrong, not the machines.
-            wait = min(60.0, 2.0 ** min(6, sum(job.errors.values()) - 2))
-            job.not_before = now + seconds(wait)
-            log.info(
-                "job %s failed on %d machines and never ended well: next try in %.0f s",
-                job.spec.ref,
-                len(job.errors),
-                wait,
-            )
-            return
-        machine.failed_jobs.add(placement.task.ref)
-        if len(machine.failed_jobs) >= 2 or job.done_count():
+        if placement.cause is Cause.DONE:
+            self._blame.clear(machine)
+            machine.suspected = False
+        elif placement.cause is Cause.ERROR:
+            machine.cleared_of.discard(placement.task.ref)
+
+    def _judge(self, now: timedelta) -> None:
+        """Shun the machines that some job speaks against; never a quarter of the fleet is faulty at once."""
+        for name in self._book.failed_on:
+            machine = self._inventory.machines.get(name)
+            if machine is None or self._blocks.mine(machine.zone) is None or machine.state is not MachineState.UP:
+                continue
+            count, enough = self._blame.against(machine)
+            machine.suspected = count > 0
             faulty = sum(m.state is MachineState.FAULTY for m in self._inventory.machines.values())
-            if faulty * 4 < len(self._inventory.machines):
-                machine.become(MachineState.FAULTY, now, "failed tasks that run elsewhere")
+            if enough and faulty * 4 < len(self._inventory.machines):
+                machine.become(MachineState.FAULTY, now, "tasks of jobs that run elsewhere failed on it")
 
     def step(self) -> None:
         """Find machines of our blocks that fell silent, and tell the others how ours are."""
@@ -143,6 +137,7 @@
             if machine.state in (MachineState.UP, MachineState.LEAVING):
                 machine.become(MachineState.SILENT, now, "no report")
             self._spawn(self._visit_silent, machine)
+        self._judge(now)
         if self.deaf or (mine and all(m.state is MachineState.SILENT for m in mine)):
             self._probe()
         self.publish()
--- a/kelpjunction/jobs/book.py
+++ b/kelpjunction/jobs/book.py
@@ -24,6 +24,7 @@
 SUM_PREFIX = "l/sum/"
 END_PREFIX = "e/"
 CHUNK = 64
+MOST_FAILED_ON = 8  # machines a chunk's record names: enough to tell a wrong job by
 
 
 class Phase(Enum):
@@ -88,7 +89,7 @@
 class Chunk:
     """Up to 64 consecutive tasks."""
 
-    __slots__ = ("done", "handed", "next_attempt", "placements", "version")
+    __slots__ = ("done", "failed_on", "failures", "handed", "next_attempt", "placements", "version")
 
     def __init__(self) -> None:
         self.version = 0
@@ -96,6 +97,8 @@
         self.done = 0  # a bit for each task
         self.placements: dict[int, Placement] = {}
         self.handed: dict[int, Handed] = {}
+        self.failures = 0
+        self.failed_on: list[str] = []  # machines where tasks failed, the latest last
 
     def pending(self) -> Iterator[tuple[int, Handed]]:
         """Tasks that were handed over and not started yet."""
@@ -108,12 +111,19 @@
 
     def record(self) -> dict:
         """This chunk as it is stored."""
-        return {
+        record = {
             "n": self.next_attempt,
             "d": self.done,
             "h": [[i, *(h if h.machine else h[:1])] for i, h in self.handed.items()],
             "p": [[i, p.attempt, p.machine, p.session, p.zone] for i, p in self.placements.items()],
         }
+        return record | {"f": [self.failures, self.failed_on]} if self.failures else record
+
+    def failed(self, machines: list[str]) -> dict:
+        """What its record says once tasks have failed on these machines too."""
+        known = [m for m in dict.fromkeys(self.failed_on) if m not in machines]
+        latest = (known + list(dict.fromkeys(machines)))[-MOST_FAILED_ON:]
+        return {"f": [self.failures + len(machines), latest]}
 
 
 class Counts(NamedTuple):
@@ -136,11 +146,12 @@
         self.full: set[int] = set()
         self.sum_version = 0
         self.counts = Counts()
+        self.failures = 0
+        self.failed_on: set[str] = set()  # machines where tasks of this job failed
+        self.noted_failures: set[str] = set()  # those of them in the book's index
         self._first_open = 0
         # The leader's own notes, rebuilt from snapshot and reports.
         self.received = ZERO
-        self.errors: dict[str, int] = {}
-        self.not_before = ZERO
         self.why_waiting = ""
 
     @property
@@ -162,6 +173,9 @@
         if chunk.version == 0:
             del self.chunks[number]
         self._count(before, self._counted(number, chunk))
+        if self.failures or chunk.failures:
+            self.failures = sum(c.failures for c in self.chunks.values())
+            self.failed_on = {m for c in self.chunks.values() for m in c.failed_on}
 
     def take_sum(self, full: set[int], version: int) -> None:
         """Learn which chunks were folded away because all their tasks are done."""
@@ -289,6 +303,7 @@
         self.gangs: set[str] = set()
         self.accelerated: set[str] = set()  # jobs that need accelerators and are not cancelled
         self.cancelled: set[str] = set()
+        self.failed_on: dict[str, set[str]] = {}  # the jobs whose tasks failed on a machine
         self.over: set[str] = set()  # jobs whose end is to be written down
         self.settled: dict[TaskId, Placement] = {}  # placements whose end is to be written down
         self._orphans: dict[str, dict[str, tuple[Any, int]]] = {}
@@ -320,6 +335,7 @@
                     self.waiting, self.handed, self.gangs, self.accelerated, self.cancelled, self.over
                 ):  # fmt: skip
                     index.discard(ref)
+                self._note_failures(ref, job.failed_on, set())
             return
         cancelled = bool(value.get("cancelled"))
         if job is None:
@@ -332,6 +348,8 @@
 
     def _reindex(self, job: Job) -> None:
         """Bring the indexes up to date after any change of a job."""
+        self._note_failures(job.spec.ref, job.noted_failures, job.failed_on)
+        job.noted_failures = job.failed_on
         for index, belongs in (
             (self.waiting, not job.cancelled and job.waiting_count() > 0),
             (self.handed, not job.cancelled and job.counts.pending > 0),
@@ -342,6 +360,14 @@
         ):
             (index.add if belongs else index.discard)(job.spec.ref)
 
+    def _note_failures(self, ref: str, before: set[str], after: set[str]) -> None:
+        for machine in after - before:
+            self.failed_on.setdefault(machine, set()).add(ref)
+        for machine in before - after:
+            self.failed_on[machine].discard(ref)
+            if not self.failed_on[machine]:
+                del self.failed_on[machine]
+
     def _part_changed(self, job: Job, key: str, value: Any, version: int) -> None:
         if key.startswith(SUM_PREFIX):
             job.take_sum({n for a, b in (value or {"full": []})["full"] for n in range(a, b + 1)}, version)
@@ -354,6 +380,7 @@
         chunk.version = version if value is not None else 0
         value = value or {"n": 1, "d": 0, "h": [], "p": []}
         chunk.next_attempt, chunk.done = value["n"], value["d"]
+        chunk.failures, chunk.failed_on = value.get("f", (0, []))
         chunk.handed = {row[0]: Handed(*row[1:]) for row in value["h"]}
         chunk.placements = {}
         for i, attempt, machine, session, zone in value["p"]:
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -13,9 +13,10 @@
 from kelpjunction.blocks import Blocks, block_key
 from kelpjunction.clock import ZERO, Clock, seconds
 from kelpjunction.fleet.cloud import Fleet
+from kelpjunction.jobs.blame import Blame
 from kelpjunction.jobs.book import CHUNK, SUM_PREFIX, Book, Handed, Job, Phase, Placement, ranges
 from kelpjunction.jobs.records import Records, run_key
-from kelpjunction.jobs.views import cached, emptied, spread_of, view_of
+from kelpjunction.jobs.views import able_for, cached, emptied, spread_of, view_of
 from kelpjunction.placement import Victim, View, make_room, place, place_gang
 from kelpjunction.queue import Waiting, in_order
 from kelpjunction.settings import Operators, Platform
@@ -43,10 +44,12 @@
         blocks: Blocks,
         roster: Roster,
         fleet: Fleet,
+        blame: Blame,
         clock: Clock,
     ) -> None:
         self._platform = platform
         self._operators = operators
+        self._blame = blame
         self._records = records
         self._book = book
         self._blocks = blocks
@@ -132,7 +135,8 @@
         for i, placement in chunk.placements.items():
             if placement in done:
                 record["d"] |= 1 << i
-        return record
+        failed = [p.machine for i, p in chunk.placements.items() if i in gone and p.cause is Cause.ERROR]
+        return record | chunk.failed(failed) if failed else record
 
     def _finished(self, job: Job, records: dict[int, dict]) -> bool:
         if job.spec.shape is Shape.SERVICE:
@@ -198,13 +202,14 @@
 
     def _start_handed(self) -> bool:
         """Start what the leader handed to our blocks; whether anything was started or handed back."""
-        now = self._clock.steady()
         handed: dict[str, list[tuple[TaskId, Handed]]] = {}
         for job in map(self._book.jobs.__getitem__, self._book.handed):
-            if now >= job.not_before:
-                ours = [(t, h) for t, h in job.pending() if self._blocks.mine(h.zone) is not None]
-                if ours:
-                    handed[job.spec.ref] = ours
+            ours = [(t, h) for t, h in job.pending() if self._blocks.mine(h.zone) is not None]
+            if job.spec.shape is Shape.SERVICE and job.failures and self._blame.wrong(job):
+                # Its replicas are restarted here, without the leader.
+                ours = ours[: 1 if self._blame.due(job) else 0]
+            if ours:
+                handed[job.spec.ref] = ours
         self._roomless = {ref: since for ref, since in self._roomless.items() if ref in handed}
         if not handed:
             return False
@@ -248,7 +253,7 @@
     ) -> tuple[list[tuple[TaskId, View, int | None]], list[tuple[TaskId, Handed]]]:
         """Machines for a job's handed tasks; and the tasks that found none."""
         spec = job.spec
-        able = [v for v in views if v.name not in job.errors] or views
+        able = able_for(job, views)
         if spec.shape is Shape.GANG:
             return self._choose_for_gang(job, ours, able, views)
         starts: list[tuple[TaskId, View, int | None]] = []
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -13,10 +13,11 @@
 from kelpjunction.clock import ZERO, Clock
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.fleet.demand import Want
+from kelpjunction.jobs.blame import Blame
 from kelpjunction.jobs.book import CHUNK, RUN_PREFIX, Book, Chunk, Job
 from kelpjunction.jobs.holding import may_be_stopped, weight_of
 from kelpjunction.jobs.records import Records, run_key
-from kelpjunction.jobs.views import emptied, spread_of, view_of
+from kelpjunction.jobs.views import able_for, emptied, spread_of, view_of
 from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
 from kelpjunction.placement import Victim, View, make_room, place, place_gang
 from kelpjunction.queue import Claim, Usage, Waiting, in_order, shares
@@ -48,6 +49,7 @@
         leadership: Leadership,
         blocks: Blocks,
         fleet: Fleet,
+        blame: Blame,
         clock: Clock,
     ) -> None:
         self._platform = platform
@@ -59,6 +61,7 @@
         self._leadership = leadership
         self._blocks = blocks
         self._fleet = fleet
+        self._blame = blame
         self._clock = clock
         self._reign: Reign
         self._counted_at = ZERO
@@ -152,14 +155,18 @@
         full: set[tuple] = set()
         for ref in order:
             job = self._book.jobs[ref]
+            tries = self._blame.may_try(job)
+            if tries == 0:
+                continue
             if len(txns) >= MOST_WRITES and job.spec.shape is not Shape.SERVICE:
                 continue  # in the next round: what it writes now must not keep services waiting
             if job.spec.shape is Shape.GANG:
-                left = self._hand_gang(job, views, usage, txns, at_top=not topped)
-                topped = topped or left > 0
+                left = self._hand_gang(job, views, usage, txns, at_top=not topped and tries is None)
+                topped = topped or (left > 0 and tries is None)
             else:
-                left = self._hand_tasks(job, views, usage, txns, full)
-            if left:
+                left = self._hand_tasks(job, views, usage, txns, full, tries)
+            if left and tries is None:
+                # For a wrong job no room is rented, kept or made.
                 unplaced.append((job, left))
         # One write a round for each job: what was handed in part gets its rest in the next.
         services = [
@@ -175,14 +182,24 @@
         spec, left = job.spec, job.spec.tasks - job.done_count()
         return Claim(spec.ref, spec.team, job.submitted, spec.cpus * left, spec.gpus * left, job.waiting_count() > 0)
 
-    def _hand_tasks(self, job: Job, views: list[View], usage: Usage, txns: list[Transaction], full: set[tuple]) -> int:
+    def _hand_tasks(
+        self,
+        job: Job,
+        views: list[View],
+        usage: Usage,
+        txns: list[Transaction],
+        full: set[tuple],
+        tries: int | None,
+    ) -> int:
         """Hand over tasks of an array or service; returns how many found no room in any block.
 
         `full` has the needs that found no room earlier in this round: room
-        only shrinks, so whoever needs the same is not tried again.
+        only shrinks, so whoever needs the same is not tried again.  At most
+        `tries` tasks are handed over, if it is given.
         """
         spec = job.spec
-        room = usage.room(spec.team, spec.cpus, spec.gpus, min(job.waiting_count(), MOST_AT_ONCE))
+        most = min(job.waiting_count(), MOST_AT_ONCE if tries is None else tries)
+        room = usage.room(spec.team, spec.cpus, spec.gpus, most)
         if room == 0:
             self._why(job, "its team is at its limit")
             return 0
@@ -193,9 +210,9 @@
             tasks = job.waiting(room)
             zones, mates = spread_of(job)
             refused = self._refused_zones(tasks)
-            able = [v for v in views if v.zone not in refused] if refused else views
+            able = able_for(job, [v for v in views if v.zone not in refused] if refused else views)
             chosen = place(spec, room, able, zones, mates, self._fleet.budget(job))
-            if len(chosen) < room and not (refused or spec.spread or spec.one_zone):
+            if len(chosen) < room and not (refused or job.failed_on or spec.spread or spec.one_zone):
                 full.add(needs)
         self._why(job, "" if len(chosen) >= room else "no machine has room")
         if chosen:
@@ -217,7 +234,7 @@
         if usage.room(spec.team, spec.cpus, spec.gpus, spec.tasks) < spec.tasks:
             self._why(job, "its team is at its limit")
             return 0
-        chosen = place_gang(spec, views)
+        chosen = place_gang(spec, able_for(job, views))
         if chosen is None:
             self._why(job, "the gang does not fit whole")
             if at_top:
--- a/kelpjunction/jobs/views.py
+++ b/kelpjunction/jobs/views.py
@@ -36,7 +36,7 @@
         images=images,
         arriving={image for image, n in load.images.items() if n} if load.placements else set(),
         tasks=len(load.placements),
-        shunned=bool(machine.failed_jobs),
+        shunned=machine.suspected,
     )
     if type_.gpus and not fleet.scarce and fleet.plain_types:
         # What accelerator work needs is not known yet: leave it nearly all.
@@ -47,6 +47,13 @@
     return view
 
 
+def able_for(job: Job, views: list[View]) -> list[View]:
+    """The machines where no task of the job has failed, or all of them if it failed on each."""
+    if not job.failed_on:
+        return views
+    return [v for v in views if v.name not in job.failed_on] or views
+
+
 def emptied(view: View, placements: Iterable[Placement]) -> View:
     """The machine as it will be when all but the services on it have ended."""
     empty = View(
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -194,7 +194,7 @@
             self.renewed = now
         for (frond, _), task in self.tasks.items():
             if task["tide"] == "pulling" and now >= task["ready"]:
-                task["tide"] = "exited" if self.sick else "running"
+                task["tide"] = "exited" if self.sick or task["job"].get("wrong") else "running"
                 task["cause"] = "error"
             if task["tide"] == "running" and task["ends"] and now >= task["ends"]:
                 task |= {"tide": "exited", "cause": "done"}
--- /dev/null
+++ b/tests/test_wrong_jobs.py
@@ -0,0 +1,93 @@
+"""Jobs that fail wherever they are put, machines that fail whatever is put on them, and telling the two apart."""
+
+import logging
+
+from standins import World
+
+from kelpjunction.jobs.blame import LONGEST_PAUSE
+
+
+def served(machines: int = 6, **kwargs) -> World:
+    world = World(machines=machines, **kwargs)
+    world.run(5)
+    return world
+
+
+def test_wrong_array_is_tried_ever_more_rarely_and_costs_nobody_anything(caplog):
+    """Found in a log: each holder tried a wrong array on its own, and dear machines were rented for it."""
+    caplog.set_level(logging.INFO)
+    world = served(machines=6, capacity=30)
+    world.submit("j-1", 100, wrong=True, crew="blue")
+    world.run(10)
+    first = len(world.starts)
+    world.run(120)
+    tries = len(world.starts) - first
+    assert 2 <= tries <= 8, "about one after 4, 8, 16, 32 and 60 seconds"
+    assert [r for r in caplog.messages if "faulty" in r] == []
+    assert len([r for r in caplog.messages if "never ended well" in r]) == 1
+    caplog.clear()
+    world.run(100)
+    assert [r for r in caplog.messages if "asking for" in r] == [], "no room is rented for it"
+    assert world.run(300, lambda: not world.running("j-1"))
+    assert world.abort("j-1") == 200
+    assert world.run(2, lambda: "l/job/j-1" not in world.store.data)
+    assert world.broken == []
+
+
+def test_wrong_jobs_do_not_condemn_the_machines_they_share(caplog):
+    caplog.set_level(logging.INFO)
+    world = served(machines=3, capacity=3)
+    for n in range(4):
+        world.submit(f"j-{n}", 6, wrong=True, crew="blue")
+    world.run(60)
+    assert [r for r in caplog.messages if "faulty" in r] == []
+    world.submit("j-9", 6, crew="blue", run_s=2.0)
+    assert world.run(20, lambda: world.poll("j-9") == "done")
+
+
+def test_machine_that_fails_honest_work_is_replaced_and_the_job_is_not_made_to_wait():
+    world = served(machines=6, capacity=6)
+    sick = next(iter(world.cloud.machines.values()))[0]
+    sick.sick = True
+    for n in range(6):
+        world.submit(f"j-{n}", 6, crew="blue", run_s=4.0, cpus=1.0)
+    assert world.run(40, lambda: all(world.poll(f"j-{n}") == "done" for n in range(6)))
+    assert world.run(30, lambda: sick.name not in world.cloud.machines)
+
+
+def test_evidence_against_a_job_outlives_its_leader_and_its_holders():
+    world = served(machines=6, capacity=6)
+    world.submit("j-1", 30, wrong=True, crew="blue")
+    world.run(40)
+    for name in list(world.nodes):
+        world.kill_node(name)
+        world.run(5)
+        world.start_node(name)
+        world.run(5)
+    before = len(world.starts)
+    world.run(LONGEST_PAUSE.total_seconds())
+    assert len(world.starts) - before <= 5, "each new leader begins with the shortest pause, at one task a try"
+
+
+def test_wrong_gang_keeps_no_machines_from_others():
+    world = served(machines=3, capacity=3)
+    gang = {"shape": "ensemble", "cpus": 8.0, "crew": "blue", "mark_s": 5.0, "stow_s": 1.0}
+    world.submit("j-1", 3, wrong=True, **gang)
+    world.run(30)
+    assert not world.running("j-1")
+    world.submit("j-2", 12, crew="blue", run_s=3.0)
+    assert world.run(15, lambda: world.poll("j-2") == "done")
+    world.submit("j-3", 3, run_s=3.0, **gang)
+    assert world.run(15, lambda: world.poll("j-3") == "done"), "an honest one passes it"
+
+
+def test_job_that_ends_well_once_more_is_not_wrong_any_longer():
+    world = served(machines=3, capacity=3)
+    for worker, _ in world.cloud.machines.values():
+        worker.sick = True
+    world.submit("j-1", 12, crew="blue", run_s=1.0)
+    world.run(8)
+    assert world.leader().leading._blame.wrong(world.leader().book.jobs["j-1"])
+    for worker, _ in world.cloud.machines.values():
+        worker.sick = False
+    assert world.run(70, lambda: world.poll("j-1") == "done")
