Guests take what others leave; named arrays stop what no objective names

Change: a team without any guarantee is always beyond it, so its jobs share one weight; nothing of it starts on machines that somebody ahead of it waits for. Arrays of a named class may stop lower work of guests and of unnamed classes, which saves first. Ruled out: the order alone, since a gap of a quarter CPU fits nobody else.

--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -13,6 +13,7 @@
 from kelpjunction.jobs.book import Book, Job
 from kelpjunction.leadership import LEAD_KEY, Reign
 from kelpjunction.placement import Budget, cheapest_slot, slots_on, type_fits
+from kelpjunction.queue import Rights
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Ending, Service, StoreClient
 from kelpjunction.store.mirror import Mirror
@@ -58,6 +59,7 @@
         self._mirror = mirror
         self._book = book
         self._blame = blame
+        self._rights = Rights(platform.teams, platform.aimed)
         self._inventory = inventory
         self._transport = transport
         self._clock = clock
@@ -96,12 +98,12 @@
     def budget(self, job: Job, spare: bool = False) -> Budget:
         """What may be paid for a job's room.
 
-        Several times the least only if an objective names its class, or if it
-        has waited so long that there may be no cheap room at all.
+        Several times the least only if an objective names its class and its
+        team is no guest, or if it has waited so long that there may be no
+        cheap room at all.
         """
-        spec, aimed = job.spec, self._platform.aimed
-        unnamed = spec.shape is Shape.ARRAY and bool(aimed) and spec.klass not in aimed
-        cheap_only = spare or (unnamed and self._clock.utc() - job.submitted < PATIENCE)
+        spec = job.spec
+        cheap_only = spare or (self._rights.leftover(spec) and self._clock.utc() - job.submitted < PATIENCE)
         key = (spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory)
         catalog = self.catalog
         if self._cheapest[0] is not catalog:
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -18,7 +18,7 @@
 from kelpjunction.jobs.records import Records, run_key
 from kelpjunction.jobs.views import able_for, cached, emptied, spread_of, view_of
 from kelpjunction.placement import Victim, View, make_room, place, place_gang
-from kelpjunction.queue import Waiting, in_order
+from kelpjunction.queue import Rights, Waiting, in_order
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Transaction
 from kelpjunction.wire.messages import Cause, JobSpec, Shape, TaskId
@@ -50,6 +50,7 @@
         self._platform = platform
         self._operators = operators
         self._blame = blame
+        self._rights = Rights(platform.teams, platform.aimed)
         self._records = records
         self._book = book
         self._blocks = blocks
@@ -340,7 +341,7 @@
     # -- making room ----------------------------------------------------------
 
     def _make_room(self, roomless: list[tuple[Job, list[tuple[TaskId, Handed]]]], views: list[View]) -> bool:
-        """Stop others for services without room; give back to the leader what finds none here."""
+        """Stop others for those without room; give back to the leader what finds none here."""
         if not roomless:
             return False
         now = self._clock.steady()
@@ -351,7 +352,7 @@
             if job.spec.ref not in self._book.jobs:
                 continue  # it ended while the launches were written
             since = self._roomless.setdefault(job.spec.ref, now)
-            if job.spec.shape is Shape.SERVICE and self._stop_for(job, left, views, victims, told):
+            if job.spec.shape is not Shape.GANG and self._stop_for(job, left, views, victims, told):
                 continue
             if now - since >= HAND_BACK_AFTER:
                 del self._roomless[job.spec.ref]
@@ -382,7 +383,7 @@
             for placement in self._on(view):
                 if placement.phase is Phase.STOPPING:
                     view.give_back(placement.spec)
-                elif placement.live and may_be_stopped(placement.spec):
+                elif placement.live and placement.spec.shape is not Shape.SERVICE:
                     victims[view.name].append(self._victim(placement, now))
         return victims
 
@@ -394,14 +395,14 @@
         victims: dict[str, list[Victim]],
         told: list[Placement],
     ) -> bool:
-        """Stop array tasks or whole checkpointing gangs for a service; whether all its tasks will find room."""
+        """Stop others for these tasks, as far as the job may; whether all of them will find room."""
         spec = job.spec
         _, mates = spread_of(job)
         for zone in sorted({h.zone for _, h in left}):
             there = [v for v in views if v.zone == zone]
             count = sum(h.zone == zone for _, h in left)
             count -= len(place(spec, count, there, Counter(), mates, self._fleet.budget(job)))
-            found = make_room(spec, count, there, victims, Counter())
+            found = make_room(spec, count, there, victims, Counter(), self._rights)
             for _, chosen in found:
                 for victim in chosen:
                     told += self._stop_victim(victim.placement, spec)
@@ -425,16 +426,11 @@
         log.info("stopping %s on %s: %s", placement.task, placement.machine, why)
         if job.spec.shape is Shape.GANG:
             return self._stop_all(job, job.spec.save, why)
-        # No time to save: the service waits, and the last checkpoint is not far.
-        self._roster.stop(placement, ZERO, why)
+        # No time to save for a service that waits: the last checkpoint is not far.
+        self._roster.stop(placement, ZERO if for_.shape is Shape.SERVICE else placement.spec.save, why)
         return [placement]
 
 
 def weight_of(spec: JobSpec, operators: Operators) -> float:
     """How fast a waiting job's deficit grows: by its shape, and by its urgency within the shape."""
     return operators.class_weights[spec.shape.value] * operators.urgency_weights[spec.priority.name.lower()]
-
-
-def may_be_stopped(spec: JobSpec) -> bool:
-    """Whether services may stop this work: array tasks, and gangs that save."""
-    return spec.shape is Shape.ARRAY or (spec.shape is Shape.GANG and bool(spec.checkpoint))
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -7,6 +7,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Iterable
 from datetime import timedelta
 
 from kelpjunction.blocks import Blocks
@@ -15,16 +16,16 @@
 from kelpjunction.fleet.demand import Want
 from kelpjunction.jobs.blame import Blame
 from kelpjunction.jobs.book import CHUNK, RUN_PREFIX, Book, Chunk, Job
-from kelpjunction.jobs.holding import may_be_stopped, weight_of
+from kelpjunction.jobs.holding import weight_of
 from kelpjunction.jobs.records import Records, run_key
 from kelpjunction.jobs.views import able_for, emptied, spread_of, view_of
 from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
-from kelpjunction.placement import Victim, View, make_room, place, place_gang
-from kelpjunction.queue import Claim, Usage, Waiting, in_order, shares
+from kelpjunction.placement import Victim, View, allowed, make_room, place, place_gang, type_fits
+from kelpjunction.queue import Claim, Rights, Usage, Waiting, in_order, shares
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import StoreClient, Transaction
 from kelpjunction.store.mirror import Mirror
-from kelpjunction.wire.messages import Shape, TaskId
+from kelpjunction.wire.messages import JobSpec, Shape, TaskId
 
 log = logging.getLogger("jobs")
 
@@ -62,6 +63,7 @@
         self._blocks = blocks
         self._fleet = fleet
         self._blame = blame
+        self._rights = Rights(platform.teams, platform.aimed)
         self._clock = clock
         self._reign: Reign
         self._counted_at = ZERO
@@ -152,6 +154,8 @@
             txns += self._move_gang(job, views)
             unplaced.append((job, job.spec.tasks))
         topped = bool(held_back)
+        lacking: set[JobSpec] = set()  # what waits without room ahead of guests
+        left_over: dict[int, list[View]] = {0: views}
         full: set[tuple] = set()
         for ref in order:
             job = self._book.jobs[ref]
@@ -160,19 +164,29 @@
                 continue
             if len(txns) >= MOST_WRITES and job.spec.shape is not Shape.SERVICE:
                 continue  # in the next round: what it writes now must not keep services waiting
+            guest = self._rights.guest(job.spec)
+            if guest and len(lacking) not in left_over:
+                left_over[len(lacking)] = _left_over(views, lacking)
+            seen = left_over[len(lacking)] if guest else views
             if job.spec.shape is Shape.GANG:
-                left = self._hand_gang(job, views, usage, txns, at_top=not topped and tries is None)
+                left = self._hand_gang(job, seen, usage, txns, at_top=not topped and tries is None)
                 topped = topped or (left > 0 and tries is None)
             else:
-                left = self._hand_tasks(job, views, usage, txns, full, tries)
+                left = self._hand_tasks(job, seen, usage, txns, full, tries)
             if left and tries is None:
                 # For a wrong job no room is rented, kept or made.
                 unplaced.append((job, left))
+                if not guest:
+                    lacking.add(job.spec)
         # One write a round for each job: what was handed in part gets its rest in the next.
-        services = [
-            (j, n) for j, n in unplaced if j.spec.shape is Shape.SERVICE and n == min(j.waiting_count(), MOST_AT_ONCE)
+        pressing = [
+            (j, n)
+            for j, n in unplaced
+            if j.spec.shape is not Shape.GANG
+            and not self._rights.leftover(j.spec)
+            and n == min(j.waiting_count(), MOST_AT_ONCE)
         ]
-        txns += self._hand_where_others_may_stop(services, views, usage)
+        txns += self._hand_where_others_may_stop(pressing, views, usage)
         self._fleet.wants = [Want(job.spec, left, self._fleet.budget(job)) for job, left in unplaced]
         if txns:
             self._records.write(txns)
@@ -204,7 +218,7 @@
             self._why(job, "its team is at its limit")
             return 0
         tasks: list[TaskId] = []
-        needs = (spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory)
+        needs = (self._rights.guest(spec), spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory)
         chosen: list[View] = []
         if needs not in full:
             tasks = job.waiting(room)
@@ -348,21 +362,24 @@
         return views
 
     def _hand_where_others_may_stop(
-        self, services: list[tuple[Job, int]], views: list[View], usage: Usage
+        self, pressing: list[tuple[Job, int]], views: list[View], usage: Usage
     ) -> list[Transaction]:
-        """Hand services without room to blocks where array tasks or gangs may be stopped for them."""
-        if not services:
+        """Hand jobs without room to blocks where others may be stopped for them, services first."""
+        if not pressing:
             return []
-        victims = {v.name: [Victim(p, p.spec, ZERO) for p in self._on(v) if may_be_stopped(p.spec)] for v in views}
+        pressing.sort(key=lambda entry: entry[0].spec.shape is not Shape.SERVICE)
+        victims = {
+            v.name: [Victim(p, p.spec, ZERO) for p in self._on(v) if p.spec.shape is not Shape.SERVICE] for v in views
+        }
         txns: list[Transaction] = []
-        for job, count in services:
+        for job, count in pressing:
             spec = job.spec
             zones, _ = spread_of(job)
             tasks = job.waiting(MOST_AT_ONCE)
             refused = self._refused_zones(tasks)
             room = usage.room(spec.team, spec.cpus, spec.gpus, min(count, len(tasks)))
             able = [v for v in views if v.zone not in refused]
-            found = make_room(spec, room, able, victims, zones)
+            found = make_room(spec, room, able, victims, zones, self._rights)
             rows = [(task, (view.zone,)) for task, (view, _) in zip(tasks, found, strict=False)]
             if rows:
                 usage.add(spec.team, spec.cpus, spec.gpus, len(rows))
@@ -384,3 +401,13 @@
         txns += [self._led().delete(f"{SNAPSHOT_PREFIX}{i}") for i in range(len(parts), self._snapshot_keys)]
         if self._records.write(txns):
             self._snapshot_keys = len(parts)
+
+
+def _left_over(views: list[View], lacking: Iterable[JobSpec]) -> list[View]:
+    """The machines that nobody ahead of a guest waits for.
+
+    A guest's small tasks would fill each gap as it opens, so that the room
+    for a larger one of others never came together.
+    """
+    needs = {(s.types, s.zone, s.spot, s.cpus, s.gpus, s.memory): s for s in lacking}.values()
+    return [v for v in views if not any(allowed(s, v.type, v.zone, v.spot) and type_fits(s, v.type) for s in needs)]
--- a/kelpjunction/leadership/__init__.py
+++ b/kelpjunction/leadership/__init__.py
@@ -100,6 +100,10 @@
         fresh_at = self._mirror.fresh_at
         return fresh_at is not None and self._clock.steady() - fresh_at < self.grace
 
+    def informed(self) -> bool:
+        """Whether the state service's news are fresh, so that what this node holds is likely still its own."""
+        return self._mirror.fresh
+
     def step(self) -> None:
         """Take or extend the hold; run for leader when nobody leads."""
         if self._busy or not self._mirror.loaded:
--- a/kelpjunction/placement/__init__.py
+++ b/kelpjunction/placement/__init__.py
@@ -12,6 +12,7 @@
 from datetime import timedelta
 from typing import Any, NamedTuple
 
+from kelpjunction.queue import Rights
 from kelpjunction.wire.messages import JobSpec, MachineType, Priority, Shape
 
 SLACK = 1e-6
@@ -354,7 +355,7 @@
 
 
 def make_room(
-    spec: JobSpec, count: int, views: Iterable[View], victims: dict[str, list[Victim]], zones: Counter
+    spec: JobSpec, count: int, views: Iterable[View], victims: dict[str, list[Victim]], zones: Counter, rights: Rights
 ) -> list[tuple[View, list[Victim]]]:
     """Machines where up to `count` tasks of the job gain room at the least loss, and whom to stop there.
 
@@ -363,7 +364,7 @@
     """
 
     def score(view: View) -> tuple | None:
-        below = [v for v in victims.get(view.name, ()) if v.priority < spec.priority]
+        below = [v for v in victims.get(view.name, ()) if rights.may_stop(spec, v.spec)]
         chosen = _enough(spec, view, below)
         if chosen is None:
             return None
--- a/kelpjunction/queue/__init__.py
+++ b/kelpjunction/queue/__init__.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from kelpjunction.settings import Team
+from kelpjunction.wire.messages import JobSpec, Shape
 
 SLACK = 1e-6
 
@@ -52,9 +53,11 @@
             continue
         cpus[claim.team] = cpus.get(claim.team, 0.0) + claim.cpus
         gpus[claim.team] = gpus.get(claim.team, 0.0) + claim.gpus
-        # A guarantee of 0 is none, and none is not exceeded.
-        inside = (not team.cpus or cpus[claim.team] <= team.cpus + SLACK) and (
-            not team.gpus or gpus[claim.team] <= team.gpus + SLACK
+        # A guarantee of 0 is none, and none is not exceeded; but a guest, who has neither, is always beyond.
+        inside = (
+            not team.guest
+            and (not team.cpus or cpus[claim.team] <= team.cpus + SLACK)
+            and (not team.gpus or gpus[claim.team] <= team.gpus + SLACK)
         )
         if claim.waits:
             kept[claim.ref] = 1.0
@@ -65,6 +68,40 @@
     return kept
 
 
+class Rights:
+    """Who may stop whom, and who only uses what others leave.
+
+    Services may stop arrays and whole gangs that save.  Beyond the source,
+    arrays may too, though only what nobody waits for: a guest's tasks, or
+    those of a class that no objective names.  Whatever the shape, only work
+    of lower priority is stopped.
+    """
+
+    def __init__(self, teams: dict[str, Team], aimed: frozenset[str]) -> None:
+        self._teams = teams
+        self._aimed = aimed
+
+    def guest(self, spec: JobSpec) -> bool:
+        """Whether the job's team is guaranteed nothing."""
+        team = self._teams.get(spec.team)
+        return team is not None and team.guest
+
+    def named(self, spec: JobSpec) -> bool:
+        """Whether an objective names the job's class; without objectives every class counts."""
+        return not self._aimed or spec.klass in self._aimed
+
+    def leftover(self, spec: JobSpec) -> bool:
+        """Whether the job is array work that takes what others leave, and gives it back."""
+        return spec.shape is Shape.ARRAY and (self.guest(spec) or not self.named(spec))
+
+    def may_stop(self, spec: JobSpec, victim: JobSpec) -> bool:
+        if victim.priority >= spec.priority or spec.shape is Shape.GANG:
+            return False
+        if spec.shape is Shape.SERVICE:
+            return victim.shape is Shape.ARRAY or (victim.shape is Shape.GANG and bool(victim.checkpoint))
+        return self.leftover(victim) and not self.leftover(spec)
+
+
 def deficit(job: Waiting, now: datetime, credit: timedelta) -> float:
     """What the job is owed, in weighted seconds."""
     waited = now - job.submitted + credit
--- a/kelpjunction/settings.py
+++ b/kelpjunction/settings.py
@@ -37,6 +37,11 @@
     cpus_max: float | None
     gpus_max: float | None
 
+    @property
+    def guest(self) -> bool:
+        """Whether the team is guaranteed nothing: it uses what others leave."""
+        return not self.cpus and not self.gpus
+
 
 @dataclass(frozen=True, slots=True)
 class WorkerTimes:
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -300,6 +300,8 @@
 
     def settle_expired(self) -> None:
         """Settle what stood on machines whose leases have certainly ended."""
+        if not self._leadership.informed():
+            return  # a node that stood still heard nobody, and others renewed the leases meanwhile
         now = self._clock.steady()
         for machine, load in self._book.loads.items():
             worker = self.workers.get(machine)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -30,6 +30,7 @@
 
 STORE, CLOUD = "10.2.0.1:2379", "10.2.0.2:8443"
 START = datetime(2026, 1, 1, tzinfo=UTC)
+GUEST = Team("guest", 0.0, 0.0, None, None)
 TIMES = WorkerTimes(seconds(2), seconds(15), seconds(30), seconds(5), seconds(40))
 
 
@@ -283,12 +284,20 @@
 class World:
     """Nodes, services and workers, and the rules they must keep."""
 
-    def __init__(self, seed: int = 1, machines: int = 6, capacity: int = 12, teams: tuple[Team, ...] | None = None):
+    def __init__(
+        self,
+        seed: int = 1,
+        machines: int = 6,
+        capacity: int = 12,
+        teams: tuple[Team, ...] | None = None,
+        aimed: frozenset[str] = frozenset(),
+    ):
         self.clock = SimClock()
         self.random = random.Random(seed)
         self.times = TIMES
         self.zones = ("a", "b", "c")
-        self.teams = teams or (Team("red", 16.0, 0.0, 40.0, None), Team("blue", 16.0, 0.0, None, None))
+        self.aimed = aimed
+        self.teams = teams or (Team("red", 16.0, 0.0, 40.0, None), Team("blue", 16.0, 0.0, None, None), GUEST)
         self.store = StoreStandIn(self.clock)
         self.cloud = CloudStandIn(self, capacity)
         self.jobs: dict[str, dict] = {}
@@ -321,7 +330,7 @@
             node=name, zone=self.zones[number], listen=f"10.0.0.{number}:8080", internal=f"10.0.0.{number}:8081",
             siblings=tuple(Sibling(f"holdfast-{i}", self.zones[i], f"10.0.0.{i}:8081") for i in others),
             cloud_address=CLOUD, store_address=STORE, zones=self.zones, teams={t.name: t for t in self.teams},
-            aimed=frozenset(), workers=self.times,
+            aimed=self.aimed, workers=self.times,
             store=StoreLimits(250.0, 100.0, 8192, 12), cloud=CloudLimits(4.0, seconds(5)),
         )  # fmt: skip
 
--- /dev/null
+++ b/tests/test_guests.py
@@ -0,0 +1,60 @@
+"""Guests, whose team is guaranteed nothing: they use what others leave and give it back."""
+
+from datetime import UTC, datetime
+
+from standins import GUEST, World
+
+from kelpjunction.queue import Claim, shares
+from kelpjunction.settings import Team
+
+TINY = {"crew": "guest", "urgency": "low", "cpus": 0.5, "ram_gb": 0.5}
+
+
+def served(**kwargs) -> World:
+    world = World(**kwargs)
+    world.run(5)
+    return world
+
+
+def test_a_guests_swarm_shares_one_weight():
+    now = datetime(2026, 1, 1, tzinfo=UTC)
+    claims = [Claim(f"j-{n}", "guest", now, 0.5, 0.0, True) for n in range(50)] + [Claim("j-a", "red", now, 2, 0, True)]
+    kept = shares(claims, {"guest": GUEST, "red": Team("red", 16.0, 0.0, None, None)})
+    assert kept["j-0"] == 1 / 50
+    assert kept["j-a"] == 1.0
+
+
+def test_giant_of_tiny_tasks_does_not_keep_larger_ones_from_finding_room():
+    """Found on a day: gaps were filled with tasks of a quarter CPU as they opened, and others waited for minutes."""
+    world = served(machines=3, capacity=3)
+    world.submit("j-1", 4000, run_s=3.0, **TINY)
+    world.run(6)
+    assert len(world.running("j-1")) > 40, "it has what nobody else wants"
+    world.submit("j-2", 3, crew="blue", cpus=8.0, run_s=4.0)
+    assert world.run(12, lambda: world.poll("j-2") == "done")
+    world.run(8)
+    assert len(world.running("j-1")) > 40, "and has it back"
+    assert world.broken == []
+
+
+def test_named_array_stops_what_no_objective_names_and_lets_it_save():
+    world = served(machines=3, capacity=3, aimed=frozenset({"import"}))
+    world.submit("j-1", 12, crew="blue", urgency="low", run_s=300.0, mark_s=5.0, stow_s=1.0, driftwood=True)
+    assert world.run(10, lambda: len(world.running("j-1")) == 12)
+    world.submit("j-2", 4, crew="blue", stripe="import", run_s=4.0)
+    assert world.run(8, lambda: len(world.running("j-2")) == 4)
+    assert world.run(30, lambda: world.poll("j-2") == "done")
+    assert world.run(10, lambda: len(world.running("j-1")) == 12)
+    assert world.broken == []
+
+
+def test_swarm_of_tiny_jobs_costs_services_nothing_and_gets_done():
+    world = served(machines=6, capacity=6)
+    for n in range(150):
+        world.submit(f"j-{n}", run_s=5.0, **TINY)
+        if n % 10 == 0:
+            world.run(0.3)
+    world.submit("j-900", 3, shape="service", urgency="prod")
+    assert world.run(2, lambda: len(world.running("j-900")) == 3)
+    assert world.run(60, lambda: not any(f"l/job/j-{n}" in world.store.data for n in range(150)))
+    assert world.broken == []
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -9,6 +9,7 @@
 from standins import World, seconds
 
 from kelpjunction.jobs.book import Book
+from kelpjunction.queue import Rights
 
 
 def served(machines: int = 6, **kwargs) -> World:
@@ -351,7 +352,7 @@
     world.run(1)
     fleet, job = world.leader().fleet, world.leader().book.jobs["j-1"]
     assert not fleet.budget(job).cheap_only, "without objectives every class counts"
-    fleet._platform = replace(fleet._platform, aimed=frozenset({"portal"}))
+    fleet._rights = Rights(fleet._platform.teams, frozenset({"portal"}))
     assert fleet.budget(job).cheap_only
     world.clock.now += seconds(301)
     assert not fleet.budget(job).cheap_only
