--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -22,7 +22,6 @@
 from kelpjunction.jobs.holding import Holding
 from kelpjunction.jobs.leading import Leading
 from kelpjunction.jobs.records import Records
-from kelpjunction.jobs.thrift import Thrift
 from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import StoreClient, StoreDown
@@ -105,7 +104,6 @@
         self.holding = Holding(
             platform, operators, self.records, self.book, self.blocks, self.roster, self.fleet, blame, clock
         )
-        self.thrift = Thrift(self.book, self.blocks, self.fleet, self.roster, clock, self.holding.views)
         self.leading = Leading(
             platform,
             operators,
@@ -163,8 +161,6 @@
             if not self.mirror.loaded or not self.records.settled():
                 return False
             again = self.holding.round()
-            if self.thrift.step():
-                self.watch.changed = True
             if self.watch.changed:
                 self.watch.publish()
             reign = self.leadership.reign
--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -246,8 +246,8 @@
             if machine.name in self._book.loads:
                 machine.idle_since = None
                 continue
-            if machine.state in (MachineState.FAULTY, MachineState.EMPTYING):
-                machine.become(MachineState.RETURNING, now, f"{machine.state.value} and empty")
+            if machine.state is MachineState.FAULTY:
+                machine.become(MachineState.RETURNING, now, "faulty and empty")
             if machine.idle_since is None:
                 machine.idle_since = now
             type_ = self.catalog.get(machine.type)
--- a/kelpjunction/fleet/machines.py
+++ b/kelpjunction/fleet/machines.py
@@ -18,7 +18,7 @@
 
 
 class MachineState(Enum):
-    """BOOTING -> UP <-> SILENT or LEAVING, UP -> EMPTYING, any -> FAULTY or RETURNING -> GONE.
+    """BOOTING -> UP <-> SILENT or LEAVING, any -> FAULTY or RETURNING -> GONE.
 
     `Machine.become` makes every change.
     """
@@ -26,7 +26,6 @@
     BOOTING = "booting"
     UP = "up"
     LEAVING = "leaving"  # the cloud gave notice that it takes it back
-    EMPTYING = "emptying"  # what runs on it moves to cheaper room; nothing new starts there
     SILENT = "silent"  # it stopped reporting and does not answer
     FAULTY = "faulty"  # it fails what others run; nothing new starts there
     RETURNING = "returning"  # its return was asked for, and may happen at any moment
@@ -55,8 +54,6 @@
         """The one place where a machine's state changes; whether it did."""
         if state is self.state or self.state is MachineState.GONE:
             return False
-        if self.state is MachineState.EMPTYING and state is MachineState.UP:
-            return False
         if self.state is MachineState.RETURNING and state is not MachineState.GONE:
             return False
         if self.state is MachineState.FAULTY and state is not MachineState.RETURNING and state is not MachineState.GONE:
--- a/kelpjunction/fleet/watch.py
+++ b/kelpjunction/fleet/watch.py
@@ -134,7 +134,7 @@
             # While this node stood still, nobody could be heard.
             if now - max(heard_at, self._presence.since) <= limit:
                 continue
-            if machine.state is not MachineState.SILENT:
+            if machine.state in (MachineState.UP, MachineState.LEAVING):
                 machine.become(MachineState.SILENT, now, "no report")
             self._spawn(self._visit_silent, machine)
         self._judge(now)
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -215,7 +215,7 @@
         if not handed:
             return False
         self._fleet.note_scarce()
-        views = self.views()
+        views = self._views()
         txns: list[Transaction] = []
         starting: list[TaskId] = []
         roomless: list[tuple[Job, list[tuple[TaskId, Handed]]]] = []
@@ -321,7 +321,7 @@
             txns.append(txn.put(run_key(job.spec.ref, number), record))
         return txns
 
-    def views(self) -> list[View]:
+    def _views(self) -> list[View]:
         """Machines of our blocks that can take work now."""
         now = self._clock.steady()
         silent_after = self._platform.workers.report * 2.5
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -155,7 +155,7 @@
             unplaced.append((job, job.spec.tasks))
         topped = bool(held_back)
         lacking: set[JobSpec] = set()  # what waits without room ahead of guests
-        left_over: dict[frozenset[JobSpec], list[View]] = {}
+        left_over: dict[int, list[View]] = {0: views}
         full: set[tuple] = set()
         for ref in order:
             job = self._book.jobs[ref]
@@ -165,12 +165,9 @@
             if len(txns) >= MOST_WRITES and job.spec.shape is not Shape.SERVICE:
                 continue  # in the next round: what it writes now must not keep services waiting
             guest = self._rights.guest(job.spec)
-            seen = views
-            if self._rights.leftover(job.spec):
-                lack = frozenset(lacking) if guest else frozenset()
-                if lack not in left_over:
-                    left_over[lack] = _left_over(self._unreserved(views), lack)
-                seen = left_over[lack]
+            if guest and len(lacking) not in left_over:
+                left_over[len(lacking)] = _left_over(views, lacking)
+            seen = left_over[len(lacking)] if guest else views
             if job.spec.shape is Shape.GANG:
                 left = self._hand_gang(job, seen, usage, txns, at_top=not topped and tries is None)
                 topped = topped or (left > 0 and tries is None)
@@ -195,40 +192,6 @@
             self._records.write(txns)
         return bool(txns)
 
-    def _unreserved(self, views: list[View]) -> list[View]:
-        """What work that nobody waits for may use: each zone keeps room for its part of the largest service."""
-        largest = max(
-            (j.spec for j in self._book.jobs.values() if j.spec.shape is Shape.SERVICE and not j.cancelled),
-            key=lambda s: (s.tasks, s.cpus),
-            default=None,
-        )
-        if largest is None:
-            return views
-        zones = {v.zone for v in views}
-        missing = dict.fromkeys(zones, -(-largest.tasks // max(1, len(zones))))
-        reserved = set()
-        for view in sorted(views, key=lambda v: (-v.cpus, v.name)):
-            room = 0 if view.kept else view.capacity(largest)
-            if room and missing[view.zone] > 0:
-                missing[view.zone] -= room
-                reserved.add(view.name)
-        return [v for v in views if v.name not in reserved]
-
-    def _wants(self, unplaced: list[tuple[Job, int]]) -> list[Want]:
-        """What found no room, in order, with what will free room for it by itself."""
-        freed: Counter[str] = Counter()
-        for job in self._book.jobs.values():
-            if job.spec.shape is Shape.ARRAY and job.counts.placed:
-                freed[job.spec.klass] += job.counts.placed / max(job.spec.estimate.total_seconds(), 1.0)
-        ahead: Counter[str] = Counter()
-        wants = []
-        for job, left in unplaced:
-            spec = job.spec
-            per_s = freed[spec.klass] if spec.shape is Shape.ARRAY else 0.0
-            wants.append(Want(spec, left, self._fleet.budget(job), ahead[spec.klass], per_s))
-            ahead[spec.klass] += left
-        return wants
-
     def _claim(self, job: Job) -> Claim:
         spec, left = job.spec, job.spec.tasks - job.done_count()
         return Claim(spec.ref, spec.team, job.submitted, spec.cpus * left, spec.gpus * left, job.waiting_count() > 0)
@@ -255,16 +218,7 @@
             self._why(job, "its team is at its limit")
             return 0
         tasks: list[TaskId] = []
-        needs = (
-            self._rights.leftover(spec),
-            self._rights.guest(spec),
-            spec.types,
-            spec.zone,
-            spec.spot,
-            spec.cpus,
-            spec.gpus,
-            spec.memory,
-        )
+        needs = (self._rights.guest(spec), spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory)
         chosen: list[View] = []
         if needs not in full:
             tasks = job.waiting(room)
