Named arrays stop leftover work before they take or rent dear room

Change: such an array looks for cheap room, then for leftover work to stop, and only then for dear room; what it gains by stopping is not wanted from the cloud.

--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -59,6 +59,7 @@
         self._clock = clock
         self._expired_at = ZERO
         self._roomless: dict[str, timedelta] = {}  # since when a handed job finds no room
+        self._unaided: set[str] = set()  # those of them for whom too little can be stopped
 
     def gain(self, zone: str) -> None:
         """A block became ours: start from the records alone."""
@@ -212,6 +213,7 @@
             if ours:
                 handed[job.spec.ref] = ours
         self._roomless = {ref: since for ref, since in self._roomless.items() if ref in handed}
+        self._unaided &= handed.keys()
         if not handed:
             return False
         self._fleet.note_scarce()
@@ -263,7 +265,8 @@
         for zone in sorted({h.zone for _, h in ours}):
             tasks = [(t, h) for t, h in ours if h.zone == zone]
             there = [v for v in able if v.zone == zone]
-            chosen = place(spec, len(tasks), there, Counter(), mates, self._fleet.budget(job))
+            budget = self._fleet.budget(job) if spec.ref in self._unaided else self._fleet.first_budget(job)
+            chosen = place(spec, len(tasks), there, Counter(), mates, budget)
             starts += [(task, view, None) for (task, _), view in zip(tasks, chosen, strict=False)]
             left += tasks[len(chosen) :]
         return starts, left
@@ -353,7 +356,9 @@
                 continue  # it ended while the launches were written
             since = self._roomless.setdefault(job.spec.ref, now)
             if job.spec.shape is not Shape.GANG and self._stop_for(job, left, views, victims, told):
+                self._unaided.discard(job.spec.ref)
                 continue
+            self._unaided.add(job.spec.ref)
             if now - since >= HAND_BACK_AFTER:
                 del self._roomless[job.spec.ref]
                 back += self._hand_back(job, left)
@@ -401,7 +406,7 @@
         for zone in sorted({h.zone for _, h in left}):
             there = [v for v in views if v.zone == zone]
             count = sum(h.zone == zone for _, h in left)
-            count -= len(place(spec, count, there, Counter(), mates, self._fleet.budget(job)))
+            count -= len(place(spec, count, there, Counter(), mates, self._fleet.first_budget(job)))
             found = make_room(spec, count, there, victims, Counter(), self._rights)
             for _, chosen in found:
                 for victim in chosen:
