--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -113,16 +113,6 @@
             known[key] = cheapest_slot(spec, catalog.values())
         return Budget(known[key], cheap_only)
 
-    def first_budget(self, job: Job) -> Budget:
-        """What a job tries first: an array goes without dear room as long as there is work to stop for it."""
-        budget = self.budget(job)
-        if job.spec.shape is Shape.ARRAY and not self._rights.leftover(job.spec) and self._leftover_runs():
-            return budget._replace(cheap_only=True)
-        return budget
-
-    def _leftover_runs(self) -> bool:
-        return any(self._rights.leftover(j.spec) for j in self._book.jobs.values() if j.counts.placed)
-
     # -- a reign ------------------------------------------------------------
 
     def begin(self, reign: Reign | None) -> None:
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -59,7 +59,6 @@
         self._clock = clock
         self._expired_at = ZERO
         self._roomless: dict[str, timedelta] = {}  # since when a handed job finds no room
-        self._unaided: set[str] = set()  # those of them for whom too little can be stopped
 
     def gain(self, zone: str) -> None:
         """A block became ours: start from the records alone."""
@@ -213,7 +212,6 @@
             if ours:
                 handed[job.spec.ref] = ours
         self._roomless = {ref: since for ref, since in self._roomless.items() if ref in handed}
-        self._unaided &= handed.keys()
         if not handed:
             return False
         self._fleet.note_scarce()
@@ -265,8 +263,7 @@
         for zone in sorted({h.zone for _, h in ours}):
             tasks = [(t, h) for t, h in ours if h.zone == zone]
             there = [v for v in able if v.zone == zone]
-            budget = self._fleet.budget(job) if spec.ref in self._unaided else self._fleet.first_budget(job)
-            chosen = place(spec, len(tasks), there, Counter(), mates, budget)
+            chosen = place(spec, len(tasks), there, Counter(), mates, self._fleet.budget(job))
             starts += [(task, view, None) for (task, _), view in zip(tasks, chosen, strict=False)]
             left += tasks[len(chosen) :]
         return starts, left
@@ -356,9 +353,7 @@
                 continue  # it ended while the launches were written
             since = self._roomless.setdefault(job.spec.ref, now)
             if job.spec.shape is not Shape.GANG and self._stop_for(job, left, views, victims, told):
-                self._unaided.discard(job.spec.ref)
                 continue
-            self._unaided.add(job.spec.ref)
             if now - since >= HAND_BACK_AFTER:
                 del self._roomless[job.spec.ref]
                 back += self._hand_back(job, left)
@@ -406,7 +401,7 @@
         for zone in sorted({h.zone for _, h in left}):
             there = [v for v in views if v.zone == zone]
             count = sum(h.zone == zone for _, h in left)
-            count -= len(place(spec, count, there, Counter(), mates, self._fleet.first_budget(job)))
+            count -= len(place(spec, count, there, Counter(), mates, self._fleet.budget(job)))
             found = make_room(spec, count, there, victims, Counter(), self._rights)
             for _, chosen in found:
                 for victim in chosen:
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -186,12 +186,8 @@
             and not self._rights.leftover(j.spec)
             and n == min(j.waiting_count(), MOST_AT_ONCE)
         ]
-        found = self._hand_where_others_may_stop(pressing, views, usage, txns)
-        self._fleet.wants = [
-            Want(job.spec, left - found[job.spec.ref], self._fleet.budget(job))
-            for job, left in unplaced
-            if left > found[job.spec.ref]
-        ]
+        txns += self._hand_where_others_may_stop(pressing, views, usage)
+        self._fleet.wants = [Want(job.spec, left, self._fleet.budget(job)) for job, left in unplaced]
         if txns:
             self._records.write(txns)
         return bool(txns)
@@ -229,7 +225,7 @@
             zones, mates = spread_of(job)
             refused = self._refused_zones(tasks)
             able = able_for(job, [v for v in views if v.zone not in refused] if refused else views)
-            chosen = place(spec, room, able, zones, mates, self._fleet.first_budget(job))
+            chosen = place(spec, room, able, zones, mates, self._fleet.budget(job))
             if len(chosen) < room and not (refused or job.failed_on or spec.spread or spec.one_zone):
                 full.add(needs)
         self._why(job, "" if len(chosen) >= room else "no machine has room")
@@ -366,16 +362,16 @@
         return views
 
     def _hand_where_others_may_stop(
-        self, pressing: list[tuple[Job, int]], views: list[View], usage: Usage, txns: list[Transaction]
-    ) -> Counter[str]:
-        """Hand jobs without room to blocks where others may be stopped for them, services first; how many of each."""
-        handed: Counter[str] = Counter()
+        self, pressing: list[tuple[Job, int]], views: list[View], usage: Usage
+    ) -> list[Transaction]:
+        """Hand jobs without room to blocks where others may be stopped for them, services first."""
         if not pressing:
-            return handed
+            return []
         pressing.sort(key=lambda entry: entry[0].spec.shape is not Shape.SERVICE)
         victims = {
             v.name: [Victim(p, p.spec, ZERO) for p in self._on(v) if p.spec.shape is not Shape.SERVICE] for v in views
         }
+        txns: list[Transaction] = []
         for job, count in pressing:
             spec = job.spec
             zones, _ = spread_of(job)
@@ -383,16 +379,12 @@
             refused = self._refused_zones(tasks)
             room = usage.room(spec.team, spec.cpus, spec.gpus, min(count, len(tasks)))
             able = [v for v in views if v.zone not in refused]
-            found = [view for view, _ in make_room(spec, room, able, victims, zones, self._rights)]
-            if not found and spec.shape is Shape.ARRAY:
-                # Nobody is left to stop: dear room, if there is any.
-                found = place(spec, room, able, zones, Counter(), self._fleet.budget(job))
-            rows = [(task, (view.zone,)) for task, view in zip(tasks, found, strict=False)]
+            found = make_room(spec, room, able, victims, zones, self._rights)
+            rows = [(task, (view.zone,)) for task, (view, _) in zip(tasks, found, strict=False)]
             if rows:
-                handed[spec.ref] = len(rows)
                 usage.add(spec.team, spec.cpus, spec.gpus, len(rows))
                 txns += self._hand_txns(job, rows)
-        return handed
+        return txns
 
     # -- the snapshot -------------------------------------------------------
 
