--- a/kelpjunction/jobs/book.py
+++ b/kelpjunction/jobs/book.py
@@ -335,7 +335,7 @@
                     self.waiting, self.handed, self.gangs, self.accelerated, self.cancelled, self.over
                 ):  # fmt: skip
                     index.discard(ref)
-                self._note_failures(ref, job.failed_on, set())
+                self._note_failures(ref, job.noted_failures, set())
             return
         cancelled = bool(value.get("cancelled"))
         if job is None:
