A machine is shunned no longer than the job that speaks against it lives

Found by reading: a machine was judged only while some job's record named it, so one that a cancelled job had failed on stayed the last choice until something ended well on it. With a test that fails without the change.

--- a/kelpjunction/fleet/watch.py
+++ b/kelpjunction/fleet/watch.py
@@ -110,9 +110,8 @@
 
     def _judge(self, now: timedelta) -> None:
         """Shun the machines that some job speaks against; never a quarter of the fleet is faulty at once."""
-        for name in self._book.failed_on:
-            machine = self._inventory.machines.get(name)
-            if machine is None or self._blocks.mine(machine.zone) is None or machine.state is not MachineState.UP:
+        for machine in self.mine():
+            if machine.state is not MachineState.UP or not (machine.suspected or machine.name in self._book.failed_on):
                 continue
             count, enough = self._blame.against(machine)
             machine.suspected = count > 0
--- a/kelpjunction/jobs/__init__.py
+++ b/kelpjunction/jobs/__init__.py
@@ -2,5 +2,6 @@
 
 Owns the records of live jobs (`l/job/<ref>`, `l/run/<ref>/<chunk>`,
 `l/sum/<ref>`) and of ended ones (`e/<ref>`), the in-memory picture of them
-(`book`), and the leader's rounds that write them (`rounds`).
+(`book`), who is to blame for a failure (`blame`), and the rounds of leader and
+holders that write them (`leading`, `holding`, by way of `records`).
 """
--- a/tests/test_wrong_jobs.py
+++ b/tests/test_wrong_jobs.py
@@ -85,3 +85,14 @@
     for worker, _ in world.cloud.machines.values():
         worker.sick = False
     assert world.run(70, lambda: world.poll("j-1") == "done")
+
+
+def test_machine_is_shunned_no_longer_than_the_job_that_speaks_against_it_lives():
+    """Found by reading: a machine stayed shunned after the only job that had failed on it was cancelled."""
+    world = served(machines=3, capacity=3)
+    holder = next(n for n in world.nodes.values() if n.watch.mine())
+    machine = holder.watch.mine()[0]
+    world.submit("j-1", wrong=True, bay=machine.zone)
+    assert world.run(10, lambda: machine.suspected)
+    assert world.abort("j-1") == 200
+    assert world.run(5, lambda: not machine.suspected)
