--- /dev/null
+++ b/benchmarks/round.py
@@ -0,0 +1,122 @@
+"""What a node's work costs as the fleet grows: `python benchmarks/round.py [--against REVISION]`.
+
+Runs one world for each size on the stand-ins and times a node's calls, without
+HTTP, in microseconds of processor time.  With `--against`, the sources of an
+earlier revision are timed the same way, each size after the same size of
+today's, and the last columns are today's time as a share of theirs.
+"""
+
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import click
+import orjson
+
+ROOT = Path(__file__).resolve().parent.parent
+SIZES = (120, 240, 700, 2000)
+
+
+def timed(call, times: int) -> float:
+    """Microseconds that one of `times` calls takes."""
+    began = time.process_time()
+    for _ in range(times):
+        call()
+    return (time.process_time() - began) / times * 1e6
+
+
+def filled(machines: int):
+    """A world with a service on each third machine and arrays on the rest of the room."""
+    from kelpjunction.lab.world import Team, World
+
+    teams = (Team("red", 0.0, 0.0, None, None), Team("blue", 0.0, 0.0, None, None))
+    world = World(machines=machines, capacity=machines, teams=teams)
+    world.run(4)
+    for n in range(machines // 3):
+        world.submit(f"j-1{n:05d}", 3, shape="service", urgency="prod", apart=True, run_s=1e6)
+    for n in range(machines * 3 // 20):
+        world.submit(f"j-2{n:05d}", 20, run_s=1e6)
+    world.run(10)
+    return world
+
+
+def costs(machines: int) -> dict[str, float]:
+    """The calls of one node at this size."""
+    world = filled(machines)
+    leader = world.leader()
+    holder = next(n for n in world.nodes.values() if n is not leader and n.blocks.my_zones())
+    worker = next(w for w, _ in world.cloud.machines.values() if w.zone in holder.blocks.my_zones() and w.tasks)
+    report = worker.report()
+
+    def check_in() -> None:
+        report["tally"] += 1
+        assert holder.check_in(orjson.dumps(report))[0] == 200
+
+    key = "l/run/j-100000/0"
+    record = holder.mirror.get(key).value
+    versions = iter(range(10**9, 10**9 + 1000))
+    return {
+        "check-in": timed(check_in, 200),
+        "poll": timed(lambda: holder.intake.status("j-100000"), 200),
+        "followed change": timed(lambda: holder.mirror.put(key, record, next(versions)), 200),
+        "holder's idle round": timed(holder.holding.round, 50),
+        "leader's idle round": timed(leader.leading.round, 50),
+        "waiting round": _with_waiting(world, leader),
+    }
+
+
+def _with_waiting(world, leader) -> float:
+    """A leader's round with twenty arrays that find no room anywhere, after a change of one machine's tasks."""
+    for n in range(20):
+        world.submit(f"j-3{n:05d}", 20, node=leader.platform.node, run_s=1e6, cpus=8.0, ram_gb=30.0)
+    for _ in range(3):
+        leader.follow()
+        leader.leading.round()
+    key = "l/run/j-100001/0"
+    record = leader.mirror.get(key).value
+    versions = iter(range(2 * 10**9, 2 * 10**9 + 1000))
+
+    def changed_round() -> None:
+        leader.mirror.put(key, record | {"p": record["p"][1:]}, next(versions))
+        leader.mirror.put(key, record, next(versions))
+        leader.leading.round()
+
+    return timed(changed_round, 20)
+
+
+def measured(root: Path, size: int) -> dict[str, float]:
+    """The costs with the sources below `root`, in a process of their own."""
+    command = [sys.executable, __file__, "--only", str(size), "--root", str(root)]
+    return orjson.loads(subprocess.run(command, check=True, capture_output=True, cwd=root).stdout)
+
+
+@click.command()
+@click.option("--against", help="An earlier revision to time beside today's sources.")
+@click.option("--only", type=int, help="Time one size and print JSON.")
+@click.option("--root", type=click.Path(path_type=Path), default=ROOT, help="Whose sources `--only` times.")
+def main(against: str | None, only: int | None, root: Path) -> None:
+    """Time a node's calls at several sizes of fleet."""
+    if only is not None:
+        # The same stand-ins for both, those of today.
+        sys.path[:0] = [str(root), str(ROOT / "tests")]
+        sys.stdout.buffer.write(orjson.dumps(costs(only)))
+        return
+    with tempfile.TemporaryDirectory() as folder:
+        old = Path(folder) / "old"
+        if against:
+            old.mkdir()
+            archive = subprocess.run(["git", "archive", against], cwd=ROOT, check=True, capture_output=True).stdout
+            subprocess.run(["tar", "-x", "-C", str(old)], input=archive, check=True)
+        for size in SIZES:
+            now = measured(ROOT, size)
+            before = measured(old, size) if against else {}
+            click.echo(f"{size} machines")
+            for name, value in now.items():
+                beside = f"   {before[name]:9.0f} before   {value / before[name]:5.2f}" if before else ""
+                click.echo(f"  {name:22} {value:9.0f}{beside}")
+
+
+if __name__ == "__main__":
+    main()
--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -1,5 +1,6 @@
 """One controller node: wires the slices together and runs their loops."""
 
+import gc
 import logging
 import random
 from collections.abc import Callable
@@ -11,6 +12,7 @@
 from gevent.pywsgi import WSGIServer
 
 from kelpjunction.blocks import BLOCK_PREFIX, Blocks
+from kelpjunction.changes import Changes
 from kelpjunction.clock import BEAT, ZERO, Clock, Presence, SystemClock, seconds
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.fleet.machines import Inventory
@@ -36,8 +38,9 @@
 LONGEST_PAUSE = timedelta(milliseconds=250)
 PAUSE_AFTER_TROUBLE = timedelta(milliseconds=250)
 FEW_SOCKETS = 20
+GC_THRESHOLDS = (20_000, 20, 50)
 PEER_EVERY = timedelta(seconds=1)
-REQUEST_SHARE = 0.3
+REQUEST_SHARE = 0.2
 WRITE_SHARE = 0.6  # of the store's rate of changes: the leader needs more than a third, seldom all nodes at once
 
 
@@ -65,7 +68,8 @@
         self.presence = Presence(clock)
         self.store = StoreClient(transport, platform.store_address, platform.store, clock, pause, WRITE_SHARE)
         self.mirror = Mirror(self.store, clock, follow_transport)
-        self.book = Book()
+        changes = Changes()
+        self.book = Book(changes)
         blame = Blame(self.book, clock)
         self.mirror.listen(LIVE, self.book.changed)
         # What all nodes' watches and comparisons may take of the store's rate of requests, each.
@@ -77,9 +81,17 @@
         )
         self.blocks = Blocks(platform.node, incarnation, self.store, self.mirror, clock)
         self.roster = Roster(
-            platform.workers, self.book, self.blocks, self.leadership, worker_transport, clock, spawn, self.wake.set
+            platform.workers,
+            self.book,
+            self.blocks,
+            self.leadership,
+            worker_transport,
+            clock,
+            spawn,
+            self.wake.set,
+            changes,
         )
-        self.inventory = Inventory(self.mirror, self.blocks, clock)
+        self.inventory = Inventory(self.mirror, self.blocks, clock, changes)
         self.watch = Watch(
             platform.workers,
             self.store,
@@ -102,7 +114,7 @@
         self.intake = Intake(platform, self.store, self.mirror, self.verifier, self.book, self.fleet, clock)
         self.records = Records(self.store, self.mirror, self.book, self.intake.remember)
         self.holding = Holding(
-            platform, operators, self.records, self.book, self.blocks, self.roster, self.fleet, blame, clock
+            platform, operators, self.records, self.book, self.blocks, self.roster, self.fleet, blame, clock, changes
         )
         self.leading = Leading(
             platform,
@@ -116,6 +128,7 @@
             self.fleet,
             blame,
             clock,
+            changes,
         )
         self.blocks.on_gain = self._gain
         self.blocks.on_loss = self.roster.clear
@@ -200,6 +213,11 @@
         )
         self.node.mirror.listen(LEAD_KEY, self._lead_changed)
 
+    def term(self) -> int | None:
+        """The term this node leads in, or None."""
+        reign = self.node.leadership.reign
+        return None if reign is None else reign.term
+
     def run_forever(self) -> None:
         """Serve until the process is killed."""
         incoming = self._platform.max_sockets - self._outgoing - 2 * FEW_SOCKETS
@@ -207,6 +225,11 @@
         peers = self._server(self._platform.internal, PeerApplication(self.node), Pool(FEW_SOCKETS))
         users.start()
         peers.start()
+        # A node makes much garbage and few cycles: looking for them as often
+        # as by default took a tenth of its processor time.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*GC_THRESHOLDS)
         log.info("%s serves users and workers on %s", self._platform.node, self._platform.listen)
         loops = [self._follow, self._lead, self._rounds, self._cloud, self._watch, self._peers, self._beat]
         # A loop that ends has a defect; the node goes on without hiding it.
--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -30,6 +30,7 @@
 REFUSED_FOR = timedelta(seconds=20)
 CATALOG_EVERY = timedelta(seconds=60)
 MINIMUM_CHARGE = timedelta(seconds=60)
+LOOK_EVERY = timedelta(seconds=1)  # pause between two looks at all machines; what is judged there takes tens of seconds
 PATIENCE = timedelta(minutes=5)  # how long work that no objective names waits for cheap room
 
 
@@ -72,8 +73,10 @@
         self._refused: dict[Offer, timedelta] = {}
         self._catalog_at: timedelta | None = None
         self._listed_at: timedelta | None = None
+        self._looked_at: timedelta | None = None
         self.wants: list[Want] = []
         self._scarce: dict[tuple, tuple[JobSpec, timedelta]] = {}
+        self.scarce: list[JobSpec] = []  # examples of the work that needs accelerators, of late
         self._wanted: deque[tuple[timedelta, Counter]] = deque()
         self._trouble = False
         self._parsed: tuple[int, dict[str, MachineType]] = (0, {})
@@ -123,8 +126,8 @@
         # Kept past the reign's end: a step may be waiting for an answer then.
         self._term, self._began = reign.term, reign.began
         self._requests = 0
-        self._refused, self._scarce = {}, {}
-        self._listed_at = self._catalog_at = None
+        self._refused, self._scarce, self.scarce = {}, {}, []
+        self._listed_at = self._catalog_at = self._looked_at = None
         self._wanted.clear()
 
     # -- one step -----------------------------------------------------------
@@ -137,7 +140,10 @@
             now = self._clock.steady()
             if self._catalog_at is None or now - self._catalog_at > CATALOG_EVERY:
                 self._read_catalog()
-            self._drop_unbooted()
+            if self._looked_at is None or now - self._looked_at >= LOOK_EVERY:
+                self._looked_at = now
+                self._drop_unbooted()
+                self._note_idle(now)
             self._return_some()
             if self._listed_at is None or now - self._listed_at > self._platform.cloud.list_lag / 2:
                 self._read_list()
@@ -217,8 +223,6 @@
     # -- returning ----------------------------------------------------------
 
     def _return_some(self) -> None:
-        now = self._clock.steady()
-        self._note_idle(now)
         names = [m.name for m in self.machines.values() if m.state is MachineState.RETURNING]
         names = names[: min(wire.MAX_RETURN, self._store.limits.txn_ops)]
         if not names:
@@ -239,6 +243,7 @@
 
     def _note_idle(self, now: timedelta) -> None:
         """Mark idle machines, and let go those that cost more than they are worth."""
+        catalog = self.catalog
         needed = self._boxes_needed(now)
         have = Counter(m.type for m in self._live() if not m.spot)
         spare = self._room() - self._room_wanted()
@@ -250,7 +255,7 @@
                 machine.become(MachineState.RETURNING, now, "faulty and empty")
             if machine.idle_since is None:
                 machine.idle_since = now
-            type_ = self.catalog.get(machine.type)
+            type_ = catalog.get(machine.type)
             if machine.state is not MachineState.UP or type_ is None:
                 continue
             idle = now - machine.idle_since
@@ -291,11 +296,7 @@
         self._scarce = {
             need: (spec, at) for need, (spec, at) in self._scarce.items() if now - at < self._operators.gang_memory
         }
-
-    @property
-    def scarce(self) -> list[JobSpec]:
-        """Examples of the work that needs accelerators, of late."""
-        return [spec for spec, _ in self._scarce.values()]
+        self.scarce = [spec for spec, _ in self._scarce.values()]
 
     @property
     def plain_types(self) -> bool:
@@ -307,7 +308,9 @@
 
     def _room(self) -> float:
         """CPUs that are there or on their way."""
-        return sum(self.catalog[m.type].cpus for m in self._live() if m.type in self.catalog)
+        catalog = self.catalog
+        counts = Counter(m.type for m in self._live())
+        return sum(catalog[name].cpus * count for name, count in counts.items() if name in catalog)
 
     def _room_wanted(self) -> float:
         """CPUs to have: what is in use or waits, and a share to spare."""
@@ -323,13 +326,16 @@
     def _rent_some(self) -> None:
         now = self._clock.steady()
         self._refused = {o: t for o, t in self._refused.items() if t > now}
+        spare = self._spare_wants()
+        if not self.wants and not spare:
+            return
         live = self._live()
         supply = Counter(m.zone for m in live)
         coming = Counter(m.type for m in live if m.state is MachineState.BOOTING)
         refused = set(self._refused)
         request = to_rent(self.wants, self.catalog, coming, refused, supply, most=wire.MAX_RENT)
         if request is None:
-            request = to_rent(self._spare_wants(), self.catalog, {}, refused, supply, most=wire.MAX_RENT)
+            request = to_rent(spare, self.catalog, {}, refused, supply, most=wire.MAX_RENT)
         if request is None:
             return
         offer, count, spec = request
@@ -352,6 +358,8 @@
     def _spare_wants(self) -> list[Want]:
         """Room to keep free, for services first: they can't use spot machines."""
         missing = self._room_wanted() - self._room()
+        if missing <= 0:
+            return []
         samples = {
             job.spec.spot: job
             for job in self._book.jobs.values()
--- a/kelpjunction/fleet/machines.py
+++ b/kelpjunction/fleet/machines.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from kelpjunction.blocks import Blocks
+from kelpjunction.changes import Changes
 from kelpjunction.clock import ZERO, Clock
 from kelpjunction.store.mirror import Mirror
 
@@ -40,6 +41,7 @@
     type: str
     zone: str
     spot: bool
+    changes: Changes  # told of all that placement looks at
     address: str = ""
     state: MachineState = MachineState.BOOTING
     since: timedelta = ZERO
@@ -62,9 +64,33 @@
             log.info(
                 "machine %s (%s, %s): %s -> %s, %s", self.name, self.type, self.zone, self.state.value, state.value, why
             )
-        self.state, self.since = state, now
+        self.since = now
+        self._stand(state)
         return True
 
+    def _stand(self, state: MachineState) -> None:
+        self.state = state
+        self.changes.note(self.name)
+
+    def copy_state(self, state: MachineState) -> bool:
+        """Take over what its block's holder says of it; whether that is news."""
+        if self.state in (MachineState.RETURNING, state):
+            return False
+        self._stand(state)
+        return True
+
+    def suspect(self, suspected: bool) -> None:
+        """Shun it, or no longer."""
+        if suspected is not self.suspected:
+            self.suspected = suspected
+            self.changes.note(self.name)
+
+    def take_images(self, images: list[str]) -> None:
+        """Learn what its cache holds, most recently used last."""
+        if images != self.images:
+            self.images = images
+            self.changes.note(self.name)
+
     @property
     def usable(self) -> bool:
         return self.state is MachineState.UP
@@ -84,8 +110,9 @@
 class Inventory:
     """All machines this node knows of: from the records, from workers' reports, from the cloud's list."""
 
-    def __init__(self, mirror: Mirror, blocks: Blocks, clock: Clock) -> None:
+    def __init__(self, mirror: Mirror, blocks: Blocks, clock: Clock, changes: Changes) -> None:
         self._mirror = mirror
+        self._changes = changes
         self._blocks = blocks
         self._clock = clock
         self.machines: dict[str, Machine] = {}
@@ -106,7 +133,8 @@
         machine = self.machines.get(name)
         if machine is None:
             now = self._clock.steady()
-            machine = self.machines[name] = Machine(name, type_, zone, spot, since=now, rented_at=now)
+            machine = self.machines[name] = Machine(name, type_, zone, spot, self._changes, since=now, rented_at=now)
+            self._changes.note(name)
         if address:
             machine.address = address
         return machine
@@ -120,6 +148,7 @@
             if len(self._gone) > REMEMBERED:
                 self._gone.popitem(last=False)
             machine = self.machines.pop(name, None)
+            self._changes.note(name)
             if machine is not None:
                 machine.become(MachineState.GONE, self._clock.steady(), "returned")
             self.on_gone(name)
@@ -128,9 +157,8 @@
         state = MachineState(value["st"])
         if self._blocks.mine(machine.zone) is None:
             # Its block's holder knows better than we do.
-            machine.images = value["im"]
-            if machine.state is not MachineState.RETURNING and machine.state is not state:
-                machine.state = state
+            machine.take_images(value["im"])
+            if machine.copy_state(state):
                 self.on_change()
         elif state is MachineState.RETURNING:
             machine.become(state, self._clock.steady(), "as the leader decided")
--- a/kelpjunction/fleet/watch.py
+++ b/kelpjunction/fleet/watch.py
@@ -104,7 +104,7 @@
             return
         if placement.cause is Cause.DONE:
             self._blame.clear(machine)
-            machine.suspected = False
+            machine.suspect(False)
         elif placement.cause is Cause.ERROR:
             machine.cleared_of.discard(placement.task.ref)
 
@@ -114,7 +114,7 @@
             if machine.state is not MachineState.UP or not (machine.suspected or machine.name in self._book.failed_on):
                 continue
             count, enough = self._blame.against(machine)
-            machine.suspected = count > 0
+            machine.suspect(count > 0)
             faulty = sum(m.state is MachineState.FAULTY for m in self._inventory.machines.values())
             if enough and faulty * 4 < len(self._inventory.machines):
                 machine.become(MachineState.FAULTY, now, "tasks of jobs that run elsewhere failed on it")
@@ -212,7 +212,7 @@
         for machine in self.mine():
             worker = self._roster.workers.get(machine.name)
             if worker is not None:
-                machine.images = list(worker.images)
+                machine.take_images(list(worker.images))
             if not machine.address:
                 continue
             stored = self._inventory.stored(machine.name)
--- a/kelpjunction/jobs/book.py
+++ b/kelpjunction/jobs/book.py
@@ -9,12 +9,15 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from datetime import UTC, datetime, timedelta
 from enum import Enum
 from typing import Any, NamedTuple
 
+from sortedcontainers import SortedKeyList
+
+from kelpjunction.changes import Changes
 from kelpjunction.clock import ZERO
 from kelpjunction.wire.messages import Cause, JobPhase, JobSpec, Shape, TaskId
 from kelpjunction.wire.users import job_from_fields
@@ -149,6 +152,7 @@
         self.failures = 0
         self.failed_on: set[str] = set()  # machines where tasks of this job failed
         self.noted_failures: set[str] = set()  # those of them in the book's index
+        self.noted_held = 0  # tasks placed or handed over, as the book's index counts them
         self._first_open = 0
         # The leader's own notes, rebuilt from snapshot and reports.
         self.received = ZERO
@@ -268,6 +272,18 @@
     return found
 
 
+class Need(NamedTuple):
+    """What one task of a team takes of its limit."""
+
+    team: str
+    cpus: float
+    gpus: float
+
+
+def _by_submission(job: Job) -> tuple[datetime, str]:
+    return job.submitted, job.spec.ref
+
+
 class Load:
     """What stands on a machine: its placements, and what they take together."""
 
@@ -292,10 +308,12 @@
 class Book:
     """All live jobs, and indexes of them, so that a round costs what changed.
 
-    `_reindex` keeps the sets of jobs, `_put` and `_drop` what stands on machines.
+    `_reindex` keeps the sets of jobs, `_put` and `_drop` what stands on
+    machines, and `changes` is told of every machine whose load changed.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, changes: Changes) -> None:
+        self._changes = changes
         self.jobs: dict[str, Job] = {}
         self.loads: dict[str, Load] = {}
         self.waiting: set[str] = set()  # jobs with tasks that wait to be handed over
@@ -306,6 +324,8 @@
         self.failed_on: dict[str, set[str]] = {}  # the jobs whose tasks failed on a machine
         self.over: set[str] = set()  # jobs whose end is to be written down
         self.settled: dict[TaskId, Placement] = {}  # placements whose end is to be written down
+        self.held: Counter[Need] = Counter()  # tasks placed or handed over, by team and size
+        self._of_team: dict[str, SortedKeyList] = {}  # jobs, the earliest submitted first
         self._orphans: dict[str, dict[str, tuple[Any, int]]] = {}
 
     def changed(self, key: str, value: Any, version: int) -> None:
@@ -331,6 +351,8 @@
                 for placement in list(job.placements()):
                     self._drop(placement)
                 del self.jobs[ref]
+                self._of_team[job.spec.team].remove(job)
+                self._note_held(job, 0)
                 for index in (
                     self.waiting, self.handed, self.gangs, self.accelerated, self.cancelled, self.over
                 ):  # fmt: skip
@@ -341,6 +363,7 @@
         if job is None:
             submitted = datetime.fromtimestamp(value["at"], UTC)
             job = self.jobs[ref] = Job(job_from_fields(value["spec"]), submitted, version, cancelled)
+            self._of_team.setdefault(job.spec.team, SortedKeyList(key=_by_submission)).add(job)
             for key, (part, part_version) in self._orphans.pop(ref, {}).items():
                 self._part_changed(job, key, part, part_version)
         job.version, job.cancelled = version, cancelled
@@ -350,6 +373,7 @@
         """Bring the indexes up to date after any change of a job."""
         self._note_failures(job.spec.ref, job.noted_failures, job.failed_on)
         job.noted_failures = job.failed_on
+        self._note_held(job, job.counts.placed + job.counts.pending)
         for index, belongs in (
             (self.waiting, not job.cancelled and job.waiting_count() > 0),
             (self.handed, not job.cancelled and job.counts.pending > 0),
@@ -360,6 +384,19 @@
         ):
             (index.add if belongs else index.discard)(job.spec.ref)
 
+    def _note_held(self, job: Job, held: int) -> None:
+        # Whole tasks are counted, since sums of amounts drift in the last digits.
+        if held != job.noted_held:
+            need = Need(job.spec.team, job.spec.cpus, job.spec.gpus)
+            self.held[need] += held - job.noted_held
+            if not self.held[need]:
+                del self.held[need]
+            job.noted_held = held
+
+    def of_team(self, team: str) -> Iterable[Job]:
+        """A team's live jobs, the earliest submitted first."""
+        return self._of_team.get(team, ())
+
     def _note_failures(self, ref: str, before: set[str], after: set[str]) -> None:
         for machine in after - before:
             self.failed_on.setdefault(machine, set()).add(ref)
@@ -399,6 +436,7 @@
         load = self.loads.setdefault(placement.machine, Load())
         load.placements[placement.task] = placement
         load.add(placement)
+        self._changes.note(placement.machine)
 
     def _drop(self, placement: Placement) -> None:
         if self.settled.get(placement.task) is placement:
@@ -406,6 +444,7 @@
         load = self.loads[placement.machine]
         del load.placements[placement.task]
         load.add(placement, -1)
+        self._changes.note(placement.machine)
         if not load.placements:
             # Sums of amounts drift in the last digits: an empty machine starts anew.
             del self.loads[placement.machine]
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -11,12 +11,13 @@
 from datetime import timedelta
 
 from kelpjunction.blocks import Blocks, block_key
+from kelpjunction.changes import Changes
 from kelpjunction.clock import ZERO, Clock, seconds
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.jobs.blame import Blame
 from kelpjunction.jobs.book import CHUNK, SUM_PREFIX, Book, Handed, Job, Phase, Placement, ranges
 from kelpjunction.jobs.records import Records, run_key
-from kelpjunction.jobs.views import able_for, cached, emptied, spread_of, view_of
+from kelpjunction.jobs.views import Views, able_for, cached, emptied, spread_of, stoppable, view_of
 from kelpjunction.placement import Victim, View, make_room, place, place_gang
 from kelpjunction.queue import Rights, Waiting, in_order
 from kelpjunction.settings import Operators, Platform
@@ -46,6 +47,7 @@
         fleet: Fleet,
         blame: Blame,
         clock: Clock,
+        changes: Changes,
     ) -> None:
         self._platform = platform
         self._operators = operators
@@ -58,6 +60,7 @@
         self._fleet = fleet
         self._clock = clock
         self._expired_at = ZERO
+        self._kept = Views(changes, fleet, lambda: roster.workers, self._view)
         self._roomless: dict[str, timedelta] = {}  # since when a handed job finds no room
 
     def gain(self, zone: str) -> None:
@@ -296,7 +299,7 @@
         names = {v.name for v in held}
         for view in views:
             if view.name in names:
-                view.held_for = spec.ref
+                view.hold_for(spec.ref)
         return [], [] if held else ours
 
     def _on(self, view: View) -> list[Placement]:
@@ -323,20 +326,19 @@
 
     def _views(self) -> list[View]:
         """Machines of our blocks that can take work now."""
-        now = self._clock.steady()
-        silent_after = self._platform.workers.report * 2.5
-        catalog = self._fleet.catalog
-        views: list[View] = []
-        for worker in self._roster.workers.values():
-            machine = self._fleet.machines.get(worker.machine)
-            type_ = catalog.get(machine.type) if machine else None
-            if type_ is None or not machine.usable or self._blocks.mine(machine.zone) is None:
-                continue
-            if worker.notice_at is not None or now - worker.heard_at > silent_after:
-                continue
-            images = cached(reversed(worker.images.items()), type_.cache_gb)
-            views.append(view_of(machine, type_, images, self._book.load(machine.name), self._fleet))
-        return views
+        heard_since = self._clock.steady() - self._platform.workers.report * 2.5
+        ours = set(self._blocks.my_zones())
+        workers = self._roster.workers
+        return [v for v in self._kept.fresh() if v.zone in ours and workers[v.name].heard_at >= heard_since]
+
+    def _view(self, name: str) -> View | None:
+        """A machine that reports to us and is not about to be taken."""
+        worker, machine = self._roster.workers.get(name), self._fleet.machines.get(name)
+        type_ = self._fleet.catalog.get(machine.type) if machine else None
+        if worker is None or type_ is None or not machine.usable:
+            return None
+        images = cached(reversed(worker.images.items()), type_.cache_gb)
+        return view_of(machine, type_, images, self._book.load(name), self._fleet)
 
     # -- making room ----------------------------------------------------------
 
@@ -345,7 +347,7 @@
         if not roomless:
             return False
         now = self._clock.steady()
-        victims = self._victims(views, now)
+        victims = self._victims([job for job, _ in roomless], views, now)
         told: list[Placement] = []
         back: list[Transaction] = []
         for job, left in roomless:
@@ -375,17 +377,18 @@
             txns.append(self._guarded(job, zones).guard(key, chunk.version).put(key, record))
         return txns
 
-    def _victims(self, views: list[View], now: timedelta) -> dict[str, list[Victim]]:
-        """What could be stopped, by machine; room that is being freed already is given to the views."""
-        victims: dict[str, list[Victim]] = {}
+    def _victims(self, jobs: list[Job], views: list[View], now: timedelta) -> dict[str, list[Victim]]:
+        """What could be stopped for these jobs, by machine; room that is being freed is given to the views."""
         for view in views:
-            victims[view.name] = []
-            for placement in self._on(view):
+            for placement in self._book.on(view.name).values():
                 if placement.phase is Phase.STOPPING:
                     view.give_back(placement.spec)
-                elif placement.live and placement.spec.shape is not Shape.SERVICE:
-                    victims[view.name].append(self._victim(placement, now))
-        return victims
+
+        def victim(placement: Placement) -> Victim | None:
+            ours = placement.live and self._blocks.mine(placement.zone) is not None
+            return self._victim(placement, now) if ours else None
+
+        return stoppable(self._book, self._rights, [job.spec for job in jobs], victim)
 
     def _stop_for(
         self,
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -11,6 +11,7 @@
 from datetime import timedelta
 
 from kelpjunction.blocks import Blocks
+from kelpjunction.changes import Changes
 from kelpjunction.clock import ZERO, Clock
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.fleet.demand import Want
@@ -18,7 +19,7 @@
 from kelpjunction.jobs.book import CHUNK, RUN_PREFIX, Book, Chunk, Job
 from kelpjunction.jobs.holding import weight_of
 from kelpjunction.jobs.records import Records, run_key
-from kelpjunction.jobs.views import able_for, emptied, spread_of, view_of
+from kelpjunction.jobs.views import Views, able_for, emptied, spread_of, stoppable, view_of
 from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
 from kelpjunction.placement import Victim, View, allowed, make_room, place, place_gang, type_fits
 from kelpjunction.queue import Claim, Rights, Usage, Waiting, in_order, shares
@@ -52,6 +53,7 @@
         fleet: Fleet,
         blame: Blame,
         clock: Clock,
+        changes: Changes,
     ) -> None:
         self._platform = platform
         self._operators = operators
@@ -65,6 +67,7 @@
         self._blame = blame
         self._rights = Rights(platform.teams, platform.aimed)
         self._clock = clock
+        self._kept = Views(changes, fleet, lambda: fleet.machines, self._view)
         self._reign: Reign
         self._counted_at = ZERO
         self._snapshot_at = ZERO
@@ -139,7 +142,7 @@
         self._fleet.note_scarce()
         views = self._views()
         usage = self._usage()
-        kept = shares((self._claim(j) for j in self._book.jobs.values() if not j.cancelled), self._platform.teams)
+        kept = self._shares(waiting)
         order = in_order(
             (
                 Waiting(j.spec.ref, weight_of(j.spec, self._operators) * kept[j.spec.ref], j.submitted, j.received)
@@ -192,9 +195,13 @@
             self._records.write(txns)
         return bool(txns)
 
-    def _claim(self, job: Job) -> Claim:
-        spec, left = job.spec, job.spec.tasks - job.done_count()
-        return Claim(spec.ref, spec.team, job.submitted, spec.cpus * left, spec.gpus * left, job.waiting_count() > 0)
+    def _shares(self, waiting: list[Job]) -> dict[str, float]:
+        """What part of its weight each waiting job keeps."""
+        by_team: dict[str, list[str]] = {}
+        for job in waiting:
+            by_team.setdefault(job.spec.team, []).append(job.spec.ref)
+        claims = {name: map(_claim, self._book.of_team(name)) for name in by_team}
+        return shares(by_team, claims, self._platform.teams)
 
     def _hand_tasks(
         self,
@@ -279,7 +286,7 @@
         names = {v.name for v in picked}
         for view in views:
             if view.name in names:
-                view.held_for = spec.ref
+                view.hold_for(spec.ref)
         if len({v.zone for v in picked}) == 1:
             usage.add(spec.team, spec.cpus, spec.gpus, spec.tasks)
             txns += self._hand_txns(job, self._gang_rows(job, picked))
@@ -304,7 +311,7 @@
             return self._hand_txns(job, self._gang_rows(job, chosen))
         for view in views:
             if view.zone in zones and view.type.cpus >= spec.cpus and view.type.gpus >= spec.gpus:
-                view.held_for = spec.ref
+                view.hold_for(spec.ref)
         return []
 
     def _hand_txns(self, job: Job, rows: list[tuple[TaskId, tuple]]) -> list[Transaction]:
@@ -333,8 +340,8 @@
 
     def _usage(self) -> Usage:
         usage = Usage(self._platform.teams)
-        for job in self._book.jobs.values():
-            usage.add(job.spec.team, job.spec.cpus, job.spec.gpus, job.counts.placed + job.counts.pending)
+        for need, count in self._book.held.items():
+            usage.add(*need, count)
         return usage
 
     def _on(self, view: View) -> list:
@@ -342,14 +349,9 @@
 
     def _views(self) -> list[View]:
         """All usable machines of blocks that have a holder, less what is on them or on its way to them."""
-        catalog = self._fleet.catalog
         members = self._leadership.members
-        views: list[View] = []
-        for machine in self._fleet.machines.values():
-            type_ = catalog.get(machine.type)
-            if type_ is None or not machine.usable or self._blocks.holder(machine.zone) not in members:
-                continue
-            views.append(view_of(machine, type_, machine.images, self._book.load(machine.name), self._fleet))
+        served = {zone for zone, grant in self._blocks.grants.items() if grant.holder in members}
+        views = [v for v in self._kept.fresh() if v.zone in served]
         by_zone: dict[str, list[View]] = {}
         for view in views:
             by_zone.setdefault(view.zone, []).append(view)
@@ -361,6 +363,14 @@
                 place(job.spec, count, by_zone.get(zone, ()), Counter(), Counter(), self._fleet.budget(job))
         return views
 
+    def _view(self, name: str) -> View | None:
+        """A machine that is up."""
+        machine = self._fleet.machines.get(name)
+        type_ = self._fleet.catalog.get(machine.type) if machine else None
+        if type_ is None or not machine.usable:
+            return None
+        return view_of(machine, type_, machine.images, self._book.load(name), self._fleet)
+
     def _hand_where_others_may_stop(
         self, pressing: list[tuple[Job, int]], views: list[View], usage: Usage
     ) -> list[Transaction]:
@@ -368,18 +378,25 @@
         if not pressing:
             return []
         pressing.sort(key=lambda entry: entry[0].spec.shape is not Shape.SERVICE)
-        victims = {
-            v.name: [Victim(p, p.spec, ZERO) for p in self._on(v) if p.spec.shape is not Shape.SERVICE] for v in views
-        }
+        victims = stoppable(self._book, self._rights, (j.spec for j, _ in pressing), lambda p: Victim(p, p.spec, ZERO))
         txns: list[Transaction] = []
+        barren: set[tuple] = set()  # needs for which stopping others makes no room
         for job, count in pressing:
             spec = job.spec
+            needs = (spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory, spec.priority, spec.shape)
+            needs = (*needs, self._rights.leftover(spec))
+            if needs in barren:
+                continue
             zones, _ = spread_of(job)
             tasks = job.waiting(MOST_AT_ONCE)
             refused = self._refused_zones(tasks)
             room = usage.room(spec.team, spec.cpus, spec.gpus, min(count, len(tasks)))
             able = [v for v in views if v.zone not in refused]
             found = make_room(spec, room, able, victims, zones, self._rights)
+            if found:
+                barren.clear()  # what was freed may be more than was taken
+            elif room and not (refused or spec.spread or spec.one_zone):
+                barren.add(needs)
             rows = [(task, (view.zone,)) for task, (view, _) in zip(tasks, found, strict=False)]
             if rows:
                 usage.add(spec.team, spec.cpus, spec.gpus, len(rows))
@@ -403,6 +420,12 @@
             self._snapshot_keys = len(parts)
 
 
+def _claim(job: Job) -> Claim:
+    # A cancelled job's tasks are leaving: it claims nothing.
+    left = 0 if job.cancelled else job.spec.tasks - job.done_count()
+    return Claim(job.spec.ref, job.spec.cpus * left, job.spec.gpus * left)
+
+
 def _left_over(views: list[View], lacking: Iterable[JobSpec]) -> list[View]:
     """The machines that nobody ahead of a guest waits for.
 
--- a/kelpjunction/jobs/views.py
+++ b/kelpjunction/jobs/views.py
@@ -1,13 +1,15 @@
 """Machines as placement sees them, with what stands on them taken off."""
 
 from collections import Counter
-from collections.abc import Container, Iterable
+from collections.abc import Callable, Container, Iterable
 
+from kelpjunction.changes import Changes
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.fleet.machines import Machine
-from kelpjunction.jobs.book import Job, Load, Placement
-from kelpjunction.placement import View, allowed, type_fits
-from kelpjunction.wire.messages import MachineType, Shape
+from kelpjunction.jobs.book import Book, Job, Load, Placement
+from kelpjunction.placement import Victim, View, allowed, type_fits
+from kelpjunction.queue import Rights
+from kelpjunction.wire.messages import JobSpec, MachineType, Shape
 
 KEPT_SHARE = 0.9
 
@@ -23,6 +25,61 @@
     return kept
 
 
+class Views:
+    """Views that are kept from one round to the next.
+
+    Only those are made anew whose machine changed or that a round wrote to:
+    making all of them for each round took a third of a busy leader's time.
+    """
+
+    def __init__(
+        self, changes: Changes, fleet: Fleet, names: Callable[[], Iterable[str]], make: Callable[[str], View | None]
+    ) -> None:
+        self._stale = changes.follow()
+        self._fleet = fleet
+        self._names = names
+        self._make = make
+        self._views: dict[str, View] = {}
+        self._basis: tuple = ()
+
+    def fresh(self) -> Iterable[View]:
+        """The views of all machines that can take work, none with anything left of an earlier round."""
+        basis = (self._fleet.catalog, [_need(spec) for spec in self._fleet.scarce])
+        if basis != self._basis:
+            # What is kept free for others on a machine hangs on these.
+            self._basis = basis
+            self._views.clear()
+            self._stale.update(self._names())
+        for name in self._stale:
+            view = self._make(name)
+            if view is None:
+                self._views.pop(name, None)
+            else:
+                view.scratched = self._stale
+                self._views[name] = view
+        self._stale.clear()
+        return self._views.values()
+
+
+def _need(spec: JobSpec) -> tuple:
+    return spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory
+
+
+def stoppable(
+    book: Book, rights: Rights, for_: Iterable[JobSpec], victim: Callable[[Placement], Victim | None]
+) -> dict[str, list[Victim]]:
+    """What could be stopped for any of these jobs, by machine; `victim` may leave placements out."""
+    kinds = {(s.priority, s.shape, rights.leftover(s)): s for s in for_}.values()
+    victims: dict[str, list[Victim]] = {}
+    for job in book.jobs.values():
+        if job.counts.placed and any(rights.may_stop(spec, job.spec) for spec in kinds):
+            for placement in job.placements():
+                found = victim(placement)
+                if found is not None:
+                    victims.setdefault(placement.machine, []).append(found)
+    return victims
+
+
 def view_of(machine: Machine, type_: MachineType, images: Container[str], load: Load, fleet: Fleet) -> View:
     """One machine with what is free on it now."""
     view = View(
--- /dev/null
+++ b/kelpjunction/lab/site.py
@@ -0,0 +1,180 @@
+"""What surrounds the nodes, whether simulated or real: the stand-ins, the users, and the rules of PROTOCOL."""
+
+import random
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+
+import orjson
+
+from kelpjunction.clock import seconds
+from kelpjunction.lab.standins import CloudStandIn, StoreStandIn, WorkerStandIn
+from kelpjunction.settings import CloudLimits, StoreLimits, Team, WorkerTimes
+from kelpjunction.wire.users import ABORT_END, JOBS_PATH
+
+GUEST = Team("guest", 0.0, 0.0, None, None)
+TEAMS = (Team("red", 16.0, 0.0, 40.0, None), Team("blue", 16.0, 0.0, None, None), GUEST)
+TIMES = WorkerTimes(seconds(2), seconds(15), seconds(30), seconds(5), seconds(40))
+STORE_LIMITS = StoreLimits(250.0, 100.0, 8192, 12)
+CLOUD_LIMITS = CloudLimits(4.0, seconds(5))
+
+
+class Site:
+    """The stand-ins, what users were told, and the rules, checked at every start and every answer.
+
+    Who makes one gives it a clock, whose `now` is a `timedelta`, and answers
+    `ask` and `reach_node` for the nodes.  `broken` lists each broken rule by
+    the name PROTOCOL gives it.
+    """
+
+    def __init__(
+        self, clock, seed: int, zones: tuple[str, ...], teams: tuple[Team, ...], capacity: int, speed: float = 1.0
+    ) -> None:
+        self.clock = clock
+        self.random = random.Random(seed)
+        self.times = TIMES
+        self.zones = zones
+        self.teams = teams
+        self.node_count = 3
+        self.speed = speed  # how many times as fast tasks run and machines boot
+        self.store = StoreStandIn(clock)
+        self.cloud = CloudStandIn(self, capacity)
+        self.jobs: dict[str, dict] = {}
+        self.told_cancelled: dict[str, timedelta] = {}
+        self.told: dict[str, str] = {}
+        self.finished: set[str] = set()
+        self.starts: list[str] = []
+        self.broken: list[str] = []
+
+    def ask(self, method: str, path: str, body: bytes, node: str | None) -> tuple[int, dict]:
+        """A user's request, to a node of this name or to any: status and answer."""
+        raise NotImplementedError
+
+    def reach_node(self, worker: WorkerStandIn, number: int, fields: dict) -> tuple[int, dict]:
+        """A worker's report to the node of this number; raises `NoAnswer`."""
+        raise NotImplementedError
+
+    def fault(self, do: str, target: str, duration: float) -> None:
+        """Cause one of the faults that scenarios name, for `duration` seconds where it lasts."""
+        raise NotImplementedError
+
+    def run(self, duration: float, until: Callable[[], bool] | None = None) -> bool:
+        """Let `duration` seconds pass, or fewer if `until` comes true; whether it did."""
+        raise NotImplementedError
+
+    def lose(self, zone: str) -> None:
+        """All machines of a zone die, with what is on them."""
+        for worker, _ in self.cloud.machines.values():
+            if worker.zone == zone:
+                worker.alive = False
+                worker.tasks.clear()
+
+    def address_of(self, worker: WorkerStandIn, number: int) -> str:
+        """Where the worker of the machine of this number listens."""
+        return f"10.1.0.{number}:9000"
+
+    def number_of(self, node: str | None) -> int | None:
+        """The number of a node by its name; None for one that is unknown."""
+        number = (node or "").removeprefix("holdfast-")
+        return int(number) if number.isdigit() and int(number) < self.node_count else None
+
+    def job(self, ref: str) -> dict:
+        """What the user uploaded."""
+        return self.jobs[ref]
+
+    # -- users ----------------------------------------------------------------
+
+    def submit(self, ref: str, tasks: int = 1, node: str | None = None, **fields) -> int:
+        """Submit a job through a node; returns the status."""
+        job = {
+            "ref": ref, "stripe": "class", "crew": "red", "shape": "batch", "urgency": "standard", "fronds": tasks,
+            "cpus": 2.0, "accelerators": 0.0, "ram_gb": 4.0, "bundle": "img", "image_gb": 1.0, "expect_s": 10.0,
+        } | fields  # fmt: skip
+        self.jobs[ref] = job
+        status, _ = self.ask("POST", JOBS_PATH, orjson.dumps(job), node)
+        if status == 201 and ref in self.told:
+            self.broken.append(f"forgotten: {ref} accepted twice")
+        if status in (200, 201):
+            self.told.setdefault(ref, "accepted")
+        return status
+
+    def poll(self, ref: str, node: str | None = None) -> str | None:
+        """A job's state as a user is told it, checked against what was told before."""
+        status, answer = self.ask("GET", f"{JOBS_PATH}/{ref}", b"", node)
+        if status == 404 and ref in self.told:
+            self.broken.append(f"forgotten: {ref}")
+        if status != 200:
+            return None
+        state = answer["tide"]
+        before = self.told.get(ref)
+        if before in ("done", "withdrawn") and state != before:
+            self.broken.append(f"went_back: {ref} {before} -> {state}")
+        if state == "done" and (missing := self._unfinished(ref)):
+            self.broken.append(f"not_done: {missing}")
+        if state in ("done", "withdrawn"):
+            self.told[ref] = state
+        return state
+
+    def abort(self, ref: str, node: str | None = None) -> int:
+        status, answer = self.ask("POST", f"{JOBS_PATH}/{ref}{ABORT_END}", b"", node)
+        if status == 200:
+            state = answer["tide"]
+            self.told[ref] = state
+            if state == "withdrawn":
+                self.told_cancelled.setdefault(ref, self.clock.now)
+        return status
+
+    def _unfinished(self, ref: str) -> list[str]:
+        if self.jobs[ref]["shape"] == "ensemble":
+            return []
+        return [f for i in range(self.jobs[ref]["fronds"]) if (f := f"{ref}/{i}") not in self.finished]
+
+    # -- rules ----------------------------------------------------------------
+
+    def running(self, ref: str = "") -> list[tuple[str, str]]:
+        """What is on which machine: (task, machine)."""
+        return sorted((frond, w.name) for frond, w in self._live() if frond.startswith(ref))
+
+    def _live(self) -> Iterator[tuple[str, WorkerStandIn]]:
+        for worker, _ in self.cloud.machines.values():
+            for (frond, _), task in worker.tasks.items():
+                if task["tide"] != "exited":
+                    yield frond, worker
+
+    def start(self, worker: WorkerStandIn, frond: str, attempt: int) -> dict:
+        """A worker starts a task: the moment to check the rules."""
+        ref = frond.partition("/")[0]
+        job = self.job(ref)
+        self.starts.append(frond)
+        mates = [(f, w) for f, w in self._live() if f.startswith(ref + "/")]
+        others = [w.name for f, w in mates if f == frond]
+        if others:
+            self.broken.append(f"ran_twice: {frond} on {worker.name} while on {others}")
+        if worker.spot and not job.get("driftwood"):
+            self.broken.append(f"wrong_place: {frond} on spot {worker.name}")
+        if job.get("bay") not in (None, worker.zone):
+            self.broken.append(f"wrong_place: {frond} in {worker.zone}")
+        zones = [w.zone for _, w in mates]
+        if job.get("together") and any(z != worker.zone for z in zones):
+            self.broken.append(f"wrong_place: {frond} apart from its gang")
+        if job.get("apart") and zones.count(worker.zone) >= -(-job["fronds"] // 2):
+            self.broken.append(f"wrong_place: too many of {ref} in {worker.zone}")
+        self._check_quota(job)
+        self._check_cancelled(ref)
+        run = seconds(job.get("run_s", job.get("expect_s") or 10.0)) / self.speed
+        ready = self.clock.now + seconds(1) / self.speed
+        ends = None if job["shape"] == "service" else ready + run
+        return {"tide": "pulling", "ready": ready, "ends": ends, "job": job}
+
+    def _check_quota(self, job: dict) -> None:
+        limit = next(t.cpus_max for t in self.teams if t.name == job["crew"])
+        if limit is None:
+            return
+        owners = (self.job(f.partition("/")[0]) for f, _ in self._live())
+        used = sum(owner["cpus"] for owner in owners if owner["crew"] == job["crew"])
+        if used + job["cpus"] > limit + 1e-6:
+            self.broken.append(f"quota: {job['crew']} uses {used + job['cpus']} of {limit}")
+
+    def _check_cancelled(self, ref: str) -> None:
+        told = self.told_cancelled.get(ref)
+        if told is not None and self.clock.now - told > self.times.cancel:
+            self.broken.append(f"ran_cancelled: {ref}")
--- /dev/null
+++ b/kelpjunction/lab/standins.py
@@ -0,0 +1,263 @@
+"""Stand-ins for the state service, the cloud and the workers.
+
+They speak the published protocol.  What time it is, who answers for the nodes
+and what a task runs is their site's: a simulated world (`lab.world`) or real
+processes on loopback (`lab.live`).
+"""
+
+from bisect import bisect_right
+from datetime import UTC, datetime, timedelta
+from operator import itemgetter
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs, urlsplit
+
+import orjson
+
+from kelpjunction.clock import seconds
+from kelpjunction.transport import NoAnswer, Reply
+
+if TYPE_CHECKING:
+    from kelpjunction.lab.site import Site
+
+START = datetime(2026, 1, 1, tzinfo=UTC)
+
+
+class StoreStandIn:
+    """The state service: keys, holds, follow."""
+
+    def __init__(self, clock) -> None:
+        self.clock = clock
+        self.data: dict[str, tuple[object, int, int | None]] = {}
+        self.revision = 0
+        self.history: list[tuple[int, str, object]] = []
+        self.holds: dict[int, tuple[timedelta, timedelta]] = {}
+        self.next_hold = 1
+        self.out = False
+
+    def handle(self, method: str, path: str, body: dict) -> Reply:
+        if self.out:
+            return Reply(503, {})
+        self.expire()
+        url = urlsplit(path)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        if url.path == "/commit":
+            return self._commit(body)
+        if url.path == "/follow":
+            since = int(query["since"])
+            news = [
+                {"delete": k, "stamp": r} if v is None else {"set": k, "data": v, "stamp": r}
+                for r, k, v in self.history[bisect_right(self.history, since, key=itemgetter(0)) :]
+                if k.startswith(query["prefix"])
+            ]
+            return Reply(200, {"ledger": self.revision, "news": news})
+        if url.path == "/holds":
+            hold, self.next_hold = self.next_hold, self.next_hold + 1
+            ttl = timedelta(milliseconds=body["ttl_ms"])
+            self.holds[hold] = (self.clock.now + ttl, ttl)
+            return Reply(200, {"mooring": hold})
+        if url.path.startswith("/holds/"):
+            hold = int(url.path.split("/")[2])
+            if hold not in self.holds:
+                return Reply(404, {})
+            self.holds[hold] = (self.clock.now + self.holds[hold][1], self.holds[hold][1])
+            return Reply(200, {"mooring": hold})
+        if url.path == "/store":
+            keys = sorted(k for k in self.data if k.startswith(query["prefix"]) and k > query.get("since", ""))
+            page = keys[: int(query["most"])]
+            pairs = [{"key": k, "data": self.data[k][0], "stamp": self.data[k][1]} for k in page]
+            return Reply(200, {"pairs": pairs, "has_next": len(keys) > len(page), "ledger": self.revision})
+        key = url.path.removeprefix("/store/")
+        if key not in self.data:
+            return Reply(404, {"ledger": self.revision})
+        return Reply(200, {"key": key, "data": self.data[key][0], "stamp": self.data[key][1]})
+
+    def _commit(self, body: dict) -> Reply:
+        assert len(body.get("then", ())) <= 12
+        assert len(body["guards"]) <= 48
+        failed = [g["key"] for g in body["guards"] if self.data.get(g["key"], (0, 0))[1] != g["stamp"]]
+        if failed:
+            return Reply(409, {"failed": failed, "ledger": self.revision})
+        then = body.get("then", ())
+        if any("mooring" in t and t["mooring"] not in self.holds for t in then):
+            return Reply(400, {"error": "no such lease"})
+        if then:
+            self.revision += 1
+        for change in then:
+            if "set" in change:
+                assert len(orjson.dumps(change["data"])) <= 8192
+                self._set(change["set"], change["data"], change.get("mooring"))
+            else:
+                self._set(change["delete"], None, None)
+        return Reply(200, {"ledger": self.revision})
+
+    def _set(self, key: str, value: object, hold: int | None) -> None:
+        if value is None:
+            if self.data.pop(key, None) is None:
+                return
+        else:
+            self.data[key] = (value, self.revision, hold)
+        self.history.append((self.revision, key, value))
+
+    def expire(self) -> None:
+        for hold, (end, _) in list(self.holds.items()):
+            if self.clock.now > end:
+                del self.holds[hold]
+                for key in [k for k, v in self.data.items() if v[2] == hold]:
+                    self.revision += 1
+                    self._set(key, None, None)
+
+    def outage(self, on: bool) -> None:
+        if self.out and not on:
+            self.holds = {h: (self.clock.now + ttl, ttl) for h, (_, ttl) in self.holds.items()}
+        self.out = on
+
+
+class WorkerStandIn:
+    """A machine's worker: sessions, tokens, tasks."""
+
+    def __init__(self, world: "Site", name: str, zone: str, spot: bool) -> None:
+        self.world, self.name, self.zone, self.spot = world, name, zone, spot
+        self.address = ""
+        self.session, self.sequence, self.token = 1, 0, 0
+        self.tasks: dict[tuple[str, int], dict] = {}
+        self.alive = True
+        self.cut = False  # no packet gets through
+        self.sick = False
+        self.renewed = world.clock.now
+        self.node = 0
+        self.next_report = world.clock.now
+        self.notice: timedelta | None = None
+
+    def report(self) -> dict:
+        self.sequence += 1
+        left = None if self.notice is None else (self.notice - self.world.clock.now).total_seconds()
+        tasks = [
+            {"frond": f, "launch": a} | {k: v for k, v in t.items() if k in ("tide", "cause", "kept")}
+            for (f, a), t in self.tasks.items()
+        ]
+        return {
+            "holdfast": self.name, "address": self.address, "hull": "box", "bay": self.zone,
+            "driftwood": self.spot, "watch": self.session, "tally": self.sequence, "helm": self.token,
+            "warning_s": left, "fronds": tasks,
+        }  # fmt: skip
+
+    def handle(self, method: str, path: str, body: dict) -> Reply:
+        if path == "/status":
+            return Reply(200, self.report())
+        if body["helm"] < self.token or body["watch"] != self.session:
+            return Reply(409, self.report())
+        self.token = body["helm"]
+        self.execute(body["orders"])
+        return Reply(200, self.report())
+
+    def execute(self, orders: list[dict]) -> None:
+        for order in orders:
+            key = (order["frond"], order["launch"])
+            if order["verb"] == "run" and key not in self.tasks:
+                self.tasks[key] = self.world.start(self, *key)
+            elif order["verb"] == "halt" and key in self.tasks and self.tasks[key]["tide"] != "exited":
+                saves = self.tasks[key]["job"].get("mark_s", 0) > 0 and order["slack_s"] > 0
+                self.tasks[key] |= {"tide": "exited", "cause": "stopped", "kept": saves}
+            elif order["verb"] == "forget" and self.tasks.get(key, {}).get("tide") == "exited":
+                del self.tasks[key]
+
+    def step(self) -> None:
+        now = self.world.clock.now
+        if not self.alive:
+            return
+        if now - self.renewed > self.world.times.lease:
+            self.session += 1
+            self.tasks.clear()
+            self.renewed = now
+        for (frond, _), task in self.tasks.items():
+            if task["tide"] == "pulling" and now >= task["ready"]:
+                task["tide"] = "exited" if self.sick or task["job"].get("wrong") else "running"
+                task["cause"] = "error"
+            if task["tide"] == "running" and task["ends"] and now >= task["ends"]:
+                task |= {"tide": "exited", "cause": "done"}
+                self.world.finished.add(frond)
+        if now >= self.next_report:
+            self.next_report = now + self.world.times.report
+            self._check_in(now)
+
+    def _check_in(self, now: timedelta) -> None:
+        fields = self.report()
+        try:
+            status, answer = self.world.reach_node(self, self.node, fields)
+        except NoAnswer:
+            self._try_next(now)
+            return
+        if status == 200:
+            if answer["helm"] >= self.token and fields["watch"] == self.session:
+                self.token, self.renewed = answer["helm"], now
+                self.execute(answer["orders"])
+        elif status == 421 and (named := self.world.number_of(answer.get("harbour"))) not in (None, self.node):
+            self.node = named
+            self.next_report = now + seconds(0.2)
+        else:
+            self._try_next(now)
+
+    def _try_next(self, now: timedelta) -> None:
+        self.node = (self.node + 1) % self.world.node_count
+        self.next_report = now + seconds(1)
+
+
+class CloudStandIn:
+    """The cloud: one machine type, a few zones, a list that lags."""
+
+    def __init__(self, world: "Site", capacity: int) -> None:
+        self.world, self.capacity = world, capacity
+        self.machines: dict[str, tuple[WorkerStandIn, timedelta]] = {}
+        self.at: dict[str, WorkerStandIn] = {}  # all there ever were, by address
+        self.answers: dict[str, list[str]] = {}
+        self.number = 0
+        self.out = False
+        self.boot = seconds(20)
+
+    def add(self, zone: str, spot: bool, ready: timedelta) -> WorkerStandIn:
+        self.number += 1
+        name = f"n-{self.number:06d}"
+        worker = WorkerStandIn(self.world, name, zone, spot)
+        worker.address = self.world.address_of(worker, self.number)
+        worker.next_report = worker.renewed = ready
+        self.machines[name] = (worker, self.world.clock.now)
+        self.at[worker.address] = worker
+        return worker
+
+    def handle(self, method: str, path: str, body: dict) -> Reply:
+        if self.out:
+            return Reply(503, {"error": "trouble"})
+        now = self.world.clock.now
+        if path == "/catalog":
+            hull = {
+                "label": "box", "cpus": 8, "accelerators": 0, "ram_gb": 64, "local_gb": 50,
+                "fetch_gb_per_s": 1.0, "price": 1.0, "market_price": 0.4, "startup_s": 20,
+                "bays": list(self.world.zones),
+            }  # fmt: skip
+            return Reply(200, {"hulls": [hull]})
+        if path == "/rentals/return":
+            for name in body["holdfasts"]:
+                worker, _ = self.machines.pop(name, (None, None))
+                if worker is not None:
+                    worker.alive = False
+                    worker.tasks.clear()
+            return Reply(200, {})
+        if path == "/rentals":
+            if body["charter"] not in self.answers:
+                count = min(body["number"], self.capacity - len(self.machines))
+                if count <= 0:
+                    return Reply(503, {"error": "no capacity"})
+                added = [
+                    self.add(body["bay"], body["driftwood"], now + self.boot / self.world.speed) for _ in range(count)
+                ]
+                self.answers[body["charter"]] = [w.name for w in added]
+            return Reply(200, {"holdfasts": self.answers[body["charter"]]})
+        listed = [
+            {
+                "ref": n, "address": w.address, "hull": "box", "bay": w.zone, "driftwood": w.spot,
+                "tide": "running" if w.next_report <= now else "starting", "held_s": (now - since).total_seconds(),
+            }
+            for n, (w, since) in self.machines.items()
+            if now - since > seconds(5)
+        ]  # fmt: skip
+        return Reply(200, {"holdfasts": listed, "has_next": False})
--- /dev/null
+++ b/kelpjunction/lab/world.py
@@ -0,0 +1,253 @@
+"""A simulated world: whole nodes, the stand-ins, and a clock that moves only when the world moves it.
+
+Requests or answers can be dropped, and requests held back to be carried out
+later; a node can stand still at any request it sends.
+"""
+
+import heapq
+import random
+from collections.abc import Callable
+from datetime import datetime, timedelta
+
+import orjson
+
+from kelpjunction.clock import ZERO, seconds
+from kelpjunction.daemon import Node
+from kelpjunction.lab.site import CLOUD_LIMITS, GUEST, STORE_LIMITS, TEAMS, Site
+from kelpjunction.lab.standins import START, WorkerStandIn
+from kelpjunction.settings import Operators, Platform, Sibling, Team, load_operators
+from kelpjunction.transport import NoAnswer, Reply
+from kelpjunction.wire.users import ABORT_END, JOBS_PATH
+
+STORE, CLOUD = "10.2.0.1:2379", "10.2.0.2:8443"
+
+
+class SimClock:
+    """A clock that moves only when the world moves it."""
+
+    def __init__(self) -> None:
+        self.now = seconds(1000)
+
+    def steady(self) -> timedelta:
+        return self.now
+
+    def utc(self) -> datetime:
+        return START + self.now
+
+
+class World(Site):
+    """Whole nodes on a simulated clock."""
+
+    def __init__(
+        self,
+        seed: int = 1,
+        machines: int = 6,
+        capacity: int = 12,
+        teams: tuple[Team, ...] | None = None,
+        aimed: frozenset[str] = frozenset(),
+    ):
+        super().__init__(SimClock(), seed, ("a", "b", "c"), teams or TEAMS, capacity)
+        self.aimed = aimed
+        self.late: list[tuple[timedelta, int, Callable]] = []
+        self._late_number = 0
+        self.held_for = (1.0, 25.0)
+        self.cut_from_store: set[str] = set()
+        self.filter: Callable[[str, str, str], str | None] = lambda source, target, path: None
+        # How long a node stands still before this request leaves it, if at all.
+        self.stand_still: Callable[[str, str, str], float] = lambda source, target, path: 0.0
+        self.frozen: set[str] = set()
+        self._waiting: dict[str, list[Callable]] = {}  # packets for nodes that stand still
+        self.nodes: dict[str, Node | None] = {}
+        for i in range(machines):
+            self.cloud.add(self.zones[i % 3], False, self.clock.now)
+        for i in range(3):
+            self.start_node(f"holdfast-{i}")
+
+    # -- nodes ----------------------------------------------------------------
+
+    def platform(self, name: str) -> Platform:
+        number = int(name[-1])
+        others = [i for i in range(3) if i != number]
+        return Platform(
+            node=name, zone=self.zones[number], listen=f"10.0.0.{number}:8080", internal=f"10.0.0.{number}:8081",
+            siblings=tuple(Sibling(f"holdfast-{i}", self.zones[i], f"10.0.0.{i}:8081") for i in others),
+            cloud_address=CLOUD, store_address=STORE, zones=self.zones, teams={t.name: t for t in self.teams},
+            aimed=self.aimed, workers=self.times,
+            store=STORE_LIMITS, cloud=CLOUD_LIMITS,
+        )  # fmt: skip
+
+    def operators(self) -> Operators:
+        return load_operators(None)
+
+    def start_node(self, name: str) -> Node:
+        transport = _Link(self, name)
+        node = Node(
+            self.platform(name), self.operators(), transport, transport, transport, self.clock,
+            lambda function, *args: function(*args), lambda duration: None, random.Random(self.random.random()),
+        )  # fmt: skip
+        self.nodes[name] = node
+        return node
+
+    def kill_node(self, name: str) -> None:
+        self.nodes[name] = None
+
+    def freeze(self, name: str, duration: float) -> None:
+        """Let a node stand still while all else goes on; then it goes on where it was, with what it believed."""
+        if name in self.frozen:
+            return
+        node = self.nodes[name]
+        self.frozen.add(name)
+        self.run(duration)
+        self.frozen.discard(name)
+        for packet in self._waiting.pop(name, ()):
+            if self.nodes[name] is node is not None:
+                packet()
+
+    def fault(self, do: str, target: str, duration: float) -> None:
+        if do == "kill-leader":
+            leader = self.leader()
+            target = "" if leader is None else leader.platform.node
+        if do in ("kill", "kill-leader"):
+            if target:
+                self.kill_node(target)
+                self._later(duration, lambda: self.nodes[target] or self.start_node(target))
+        elif do == "start":
+            self.start_node(target)
+        elif do == "freeze":
+            self.freeze(target, duration)
+        elif do == "outage":
+            self.store.outage(True)
+            self._later(duration, lambda: self.store.outage(False))
+        else:
+            self.lose(target)
+
+    def _later(self, duration: float, act: Callable) -> None:
+        if duration:
+            self._late_number += 1
+            heapq.heappush(self.late, (self.clock.now + seconds(duration), self._late_number, act))
+
+    def leader(self) -> Node | None:
+        for node in self.nodes.values():
+            if node is not None and node.leadership.reign is not None:
+                return node
+        return None
+
+    # -- messages -------------------------------------------------------------
+
+    def deliver(self, source: str, address: str, method: str, path: str, body: dict) -> Reply:
+        """One request of a node: what happens to it is up to `filter`."""
+        pause = self.stand_still(source, address, path)
+        if pause:
+            node = self.nodes[source]
+            self.freeze(source, pause)
+            if self.nodes[source] is not node:
+                raise NoAnswer("the process was killed meanwhile")
+        if address == STORE and source in self.cut_from_store:
+            return Reply(503, {})
+        handler = self._handler(address)
+        fate = self.filter(source, address, path)
+        if fate == "held":
+            # Held back: the sender gives up, and it is carried out later.
+            self._later(self.random.uniform(*self.held_for), lambda: handler(method, path, body))
+            raise NoAnswer("held back")
+        if fate == "lost":
+            raise NoAnswer("request lost")
+        reply = handler(method, path, body)
+        if fate == "answer lost":
+            raise NoAnswer("answer lost")
+        return reply
+
+    def _handler(self, address: str):
+        if address == STORE:
+            return self.store.handle
+        if address == CLOUD:
+            return self.cloud.handle
+        worker = self.cloud.at.get(address)
+        if worker is not None and worker.alive and not worker.cut:
+            return lambda m, p, b: worker.handle(m, p, b) if worker.alive else Reply(503, {})
+        raise NoAnswer("nobody there")
+
+    def reach_node(self, worker: WorkerStandIn, number: int, fields: dict) -> tuple[int, dict]:
+        name = f"holdfast-{number}"
+        node = self.nodes[name]
+        if node is None or worker.cut or self.filter(worker.name, name, "/checkin"):
+            raise NoAnswer("no node there")
+        body = orjson.dumps(fields)
+        if name in self.frozen:
+            # The report waits in the node's socket; its answer will be too late.
+            self._waiting.setdefault(name, []).append(lambda: node.check_in(body))
+            raise NoAnswer("the node stands still")
+        status, answer = node.check_in(body)
+        return status, orjson.loads(answer)
+
+    # -- users ----------------------------------------------------------------
+
+    def ask(self, method: str, path: str, body: bytes, node: str | None) -> tuple[int, dict]:
+        intake = self._any(node).intake
+        ref = path.removeprefix(JOBS_PATH + "/")
+        if path == JOBS_PATH:
+            answer = intake.submit(body)
+        elif ref.endswith(ABORT_END):
+            answer = intake.abort(ref.removesuffix(ABORT_END))
+        else:
+            answer = intake.status(ref)
+        return answer.status, orjson.loads(answer.body)
+
+    def _any(self, name: str | None) -> Node:
+        if name is not None:
+            return self.nodes[name]
+        return self.random.choice([n for name, n in self.nodes.items() if n is not None and name not in self.frozen])
+
+    # -- time -----------------------------------------------------------------
+
+    def deliver_late(self) -> None:
+        """Carry out now everything that was held back."""
+        while self.late:
+            heapq.heappop(self.late)[2]()
+
+    def run(self, duration: float, until: Callable[[], bool] | None = None) -> bool:
+        """Let time pass in steps of 100 ms; whether `until` came true."""
+        end = self.clock.now + seconds(duration)
+        beat = 0
+        while self.clock.now < end:
+            self.clock.now += seconds(0.1)
+            beat += 1
+            self.store.expire()
+            while self.late and self.late[0][0] <= self.clock.now:
+                heapq.heappop(self.late)[2]()
+            for worker, _ in list(self.cloud.machines.values()):
+                worker.step()
+            for node in list(self.nodes.values()):
+                if node is not None and node.platform.node not in self.frozen:
+                    self._step_node(node, beat)
+            for ref in {f.partition("/")[0] for f, _ in self.running()}:
+                self._check_cancelled(ref)
+            if until is not None and until():
+                return True
+        return until is None
+
+    def _step_node(self, node: Node, beat: int) -> None:
+        node.follow()
+        if beat % 5 == 0:
+            node.leadership.step()
+        for _ in range(4):
+            if not node.round():
+                break
+        if beat % 5 == 0:
+            node.watch.step()
+        if beat % 10 == 0:
+            node.fleet.step()
+
+
+class _Link:
+    """A node's transport in the simulated world."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self._world, self._name = world, name
+
+    def request(self, address: str, method: str, path: str, body: bytes | None, timeout: timedelta) -> Reply:
+        fields = orjson.loads(body) if body else {}
+        return self._world.deliver(self._name, address, method, path, fields)
+
+
+__all__ = ["GUEST", "ZERO", "Team", "World", "seconds"]
--- a/kelpjunction/placement/__init__.py
+++ b/kelpjunction/placement/__init__.py
@@ -35,6 +35,7 @@
     tasks: int = 0
     shunned: bool = False
     held_for: str | None = None
+    scratched: set[str] | None = None  # where to note that a round wrote to this view
     # What work that needs no accelerator must leave free here, since work
     # that needs one can go nowhere else.
     kept: bool = False
@@ -50,6 +51,10 @@
             and self.memory + SLACK >= spec.memory + (self.kept_memory if guest else 0.0)
         )
 
+    def has_room(self, spec: JobSpec) -> bool:
+        """Whether one more task has room here, if nothing is kept for others."""
+        return self.cpus + SLACK >= spec.cpus and self.gpus + SLACK >= spec.gpus and self.memory + SLACK >= spec.memory
+
     def keep_for(self, spec: JobSpec) -> None:
         """Leave room here for one task of a job that has nowhere else to go."""
         self.keep(spec.cpus, spec.gpus, spec.memory)
@@ -74,7 +79,17 @@
                 room = min(room, int((free + SLACK) / each))
         return max(0, room)
 
+    def hold_for(self, ref: str) -> None:
+        """Keep this machine for a gang: nothing else starts here."""
+        self.held_for = ref
+        self._scratch()
+
+    def _scratch(self) -> None:
+        if self.scratched is not None:
+            self.scratched.add(self.name)
+
     def take(self, spec: JobSpec, count: int = 1) -> None:
+        self._scratch()
         self.cpus -= spec.cpus * count
         self.gpus -= spec.gpus * count
         self.memory -= spec.memory * count
@@ -83,6 +98,7 @@
             self.arriving.add(spec.image)
 
     def give_back(self, spec: JobSpec, count: int = 1) -> None:
+        self._scratch()
         self.cpus += spec.cpus * count
         self.gpus += spec.gpus * count
         self.memory += spec.memory * count
@@ -158,15 +174,24 @@
     return min((slot_price(spec, t, s) for t in types if type_fits(spec, t) for s in {False, spec.spot}), default=0.0)
 
 
-def _is_dear(spec: JobSpec, view: View, budget: Budget) -> bool:
+def _dear(spec: JobSpec, views: list[View], budget: Budget) -> set[str]:
+    """Which of these machines cost several times the least; each kind of machine is reckoned once."""
+    if budget is ANY_PRICE:
+        return set()
+    kinds = {(v.type.name, v.spot): v for v in views}
+    dear = {kind for kind, v in kinds.items() if budget.dear(spec, v.type, v.spot)}
     # What is kept for accelerator work is paid anyway: its rest is given away.
-    return not view.kept and budget.dear(spec, view.type, view.spot)
+    return {v.name for v in views if not v.kept and (v.type.name, v.spot) in dear} if dear else set()
 
 
 def _usable(spec: JobSpec, views: Iterable[View]) -> list[View]:
     """Machines where at least one task of the job could start now."""
+    # On a busy fleet the first comparison rules out nearly all.
+    cpus = spec.cpus - SLACK
     return [
-        v for v in views if v.held_for in (None, spec.ref) and v.fits(spec) and allowed(spec, v.type, v.zone, v.spot)
+        v
+        for v in views
+        if v.cpus >= cpus and v.held_for in (None, spec.ref) and v.fits(spec) and allowed(spec, v.type, v.zone, v.spot)
     ]
 
 
@@ -179,7 +204,7 @@
     brought up to date, as are the views.
     """
     usable = _usable(spec, views)
-    dear = {v.name for v in usable if _is_dear(spec, v, budget)}
+    dear = _dear(spec, usable, budget)
     if budget.cheap_only:
         usable = [v for v in usable if v.name not in dear]
     if spec.shape is Shape.SERVICE:
@@ -364,7 +389,10 @@
     """
 
     def score(view: View) -> tuple | None:
-        below = [v for v in victims.get(view.name, ()) if rights.may_stop(spec, v.spec)]
+        there = victims.get(view.name, ())
+        if not there and not view.has_room(spec):
+            return None
+        below = [v for v in there if rights.may_stop(spec, v.spec)]
         chosen = _enough(spec, view, below)
         if chosen is None:
             return None
--- a/kelpjunction/queue/__init__.py
+++ b/kelpjunction/queue/__init__.py
@@ -5,7 +5,7 @@
 credit on arrival) less the machine time it received.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import NamedTuple
@@ -29,45 +29,49 @@
     """An unfinished job, and what all its unfinished tasks would hold at once."""
 
     ref: str
-    team: str
-    submitted: datetime
     cpus: float
     gpus: float
-    waits: bool
 
 
-def shares(claims: Iterable[Claim], teams: dict[str, Team]) -> dict[str, float]:
+def shares(
+    waiting: Mapping[str, Collection[str]], claims: Mapping[str, Iterable[Claim]], teams: dict[str, Team]
+) -> dict[str, float]:
     """What part of its weight each waiting job keeps.
 
     All of it while the job fits its team's guarantee together with the team's
     earlier unfinished jobs.  Beyond that a team's waiting jobs share one
-    weight, so that a swarm of them can't outrun everybody else.
+    weight, so that a swarm of them can't outrun everybody else.  `claims` has
+    each team's unfinished jobs, the earliest first; they are read only as far
+    as the guarantee reaches.
     """
-    cpus: dict[str, float] = {}
-    gpus: dict[str, float] = {}
-    beyond: dict[str, list[str]] = {}
     kept: dict[str, float] = {}
-    for claim in sorted(claims, key=lambda c: (c.submitted, c.ref)):
-        team = teams.get(claim.team)
+    for name, refs in waiting.items():
+        team = teams.get(name)
         if team is None:
             continue
-        cpus[claim.team] = cpus.get(claim.team, 0.0) + claim.cpus
-        gpus[claim.team] = gpus.get(claim.team, 0.0) + claim.gpus
-        # A guarantee of 0 is none, and none is not exceeded; but a guest, who has neither, is always beyond.
-        inside = (
-            not team.guest
-            and (not team.cpus or cpus[claim.team] <= team.cpus + SLACK)
-            and (not team.gpus or gpus[claim.team] <= team.gpus + SLACK)
-        )
-        if claim.waits:
-            kept[claim.ref] = 1.0
-            if not inside:
-                beyond.setdefault(claim.team, []).append(claim.ref)
-    for refs in beyond.values():
-        kept.update(dict.fromkeys(refs, 1.0 / len(refs)))
+        inside = _inside(team, claims[name])
+        beyond = [ref for ref in refs if ref not in inside]
+        kept.update(dict.fromkeys(refs, 1.0))
+        kept.update(dict.fromkeys(beyond, 1.0 / max(1, len(beyond))))
     return kept
 
 
+def _inside(team: Team, claims: Iterable[Claim]) -> set[str]:
+    """The jobs that fit the team's guarantee together with all before them."""
+    inside: set[str] = set()
+    if team.guest:
+        return inside  # who is guaranteed nothing is always beyond
+    cpus = gpus = 0.0
+    for claim in claims:
+        cpus += claim.cpus
+        gpus += claim.gpus
+        # A guarantee of 0 is none, and none is not exceeded.
+        if (team.cpus and cpus > team.cpus + SLACK) or (team.gpus and gpus > team.gpus + SLACK):
+            break  # claims only add up
+        inside.add(claim.ref)
+    return inside
+
+
 class Rights:
     """Who may stop whom, and who only uses what others leave.
 
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 
 from kelpjunction.blocks import Blocks
+from kelpjunction.changes import Changes
 from kelpjunction.clock import ZERO, Clock, seconds
 from kelpjunction.jobs.book import Book, Phase, Placement
 from kelpjunction.leadership import DRIFT, Leadership
@@ -58,6 +59,7 @@
         clock: Clock,
         spawn: Callable,
         wake: Callable[[], None],
+        changes: Changes,
     ) -> None:
         self._times = times
         self._book = book
@@ -67,6 +69,7 @@
         self._clock = clock
         self._spawn = spawn
         self._wake = wake
+        self._changes = changes
         self.workers: dict[str, Worker] = {}
         self.bump_zones: set[str] = set()
         self.on_seen: Callable[[Report], None] = lambda report: None
@@ -75,7 +78,8 @@
 
     def clear(self, zone: str) -> None:
         """A block came or went: what was known of its workers before does not count."""
-        self.workers = {n: w for n, w in self.workers.items() if w.zone != zone}
+        for machine in [n for n, w in self.workers.items() if w.zone == zone]:
+            self._drop(machine)
         self.bump_zones.discard(zone)
 
     # -- check-ins ----------------------------------------------------------
@@ -104,6 +108,7 @@
             worker.doubt = (self._blocks.token(report.zone) or 1) - 1
             worker.images = dict.fromkeys(self.images_of(report.machine), 0.0)
             self.workers[report.machine] = worker
+            self._changes.note(report.machine)
         if (report.session, report.sequence) <= (worker.session, worker.sequence):
             return
         new_session = report.session > worker.session
@@ -157,8 +162,11 @@
         placement.advance(phase, now)
 
     def _use_image(self, worker: Worker, placement: Placement) -> None:
-        worker.images.pop(placement.spec.image, None)
-        worker.images[placement.spec.image] = placement.spec.image_gb
+        image = placement.spec.image
+        if next(reversed(worker.images), None) != image or not worker.images[image]:
+            worker.images.pop(image, None)
+            worker.images[image] = placement.spec.image_gb
+            self._changes.note(worker.machine)
 
     def _hear_nothing(self, worker: Worker, placement: Placement, now: timedelta) -> None:
         """A check-in of this very session does not list the placement.
@@ -318,4 +326,8 @@
         for placement in list(self._book.on(machine).values()):
             if self._blocks.mine(placement.zone) is not None:
                 self.settle(placement, Cause.LOST, now)
+        self._drop(machine)
+
+    def _drop(self, machine: str) -> None:
         self.workers.pop(machine, None)
+        self._changes.note(machine)
--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from standins import World, seconds
+from kelpjunction.lab.world import World, seconds
 
 
 class Schedule:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,10 +3,9 @@
 from collections import Counter
 from datetime import UTC, datetime, timedelta
 
-from standins import SimClock
-
 from kelpjunction.clock import ZERO
 from kelpjunction.fleet.demand import Offer, Want, to_rent
+from kelpjunction.lab.world import SimClock
 from kelpjunction.placement import Budget, Victim, View, make_room, place, place_gang
 from kelpjunction.queue import Claim, Rights, Usage, Waiting, in_order, over_limit, shares
 from kelpjunction.settings import Team
@@ -43,16 +42,17 @@
 def test_swarm_of_one_teams_services_does_not_outrun_a_gang_for_long():
     teams = {"red": Team("red", 4, 0, None, None), "blue": Team("blue", 4, 0, None, None)}
     came = {f"j-{i}": NOW - timedelta(seconds=60 - i) for i in range(60)}
-    claims = [Claim(ref, "red", at, 2.0, 0.0, True) for ref, at in came.items()]
-    gang = Claim("j-gang", "blue", NOW - timedelta(seconds=60), 4.0, 0.0, True)
-    kept = shares([*claims, gang], teams)
+    claims = {"red": [Claim(ref, 2.0, 0.0) for ref in came], "blue": [Claim("j-gang", 4.0, 0.0)]}
+    kept = shares({"red": list(came), "blue": ["j-gang"]}, claims, teams)
     assert kept["j-gang"] == kept["j-0"] == kept["j-1"] == 1.0, "inside its guarantee a job keeps all its weight"
     swarm = [Waiting(ref, 100 * kept[ref], at, ZERO) for ref, at in came.items()]
-    order = in_order([*swarm, Waiting("j-gang", kept["j-gang"], gang.submitted, ZERO)], NOW, timedelta(seconds=30))
+    order = in_order(
+        [*swarm, Waiting("j-gang", kept["j-gang"], NOW - timedelta(seconds=60), ZERO)], NOW, timedelta(seconds=30)
+    )
     assert order[:2] == ["j-0", "j-1"]
     assert order.index("j-gang") < order.index("j-59"), "those who came last wait behind the gang"
     apart = [Waiting(ref, 100, at, ZERO) for ref, at in came.items()]
-    alone = in_order([*apart, Waiting("j-gang", 1, gang.submitted, ZERO)], NOW, timedelta(seconds=30))
+    alone = in_order([*apart, Waiting("j-gang", 1, NOW - timedelta(seconds=60), ZERO)], NOW, timedelta(seconds=30))
     assert alone[-1] == "j-gang", "without shares the gang would be last"
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,9 +1,10 @@
 """Machines that die, are cut off or come back from nowhere; dealings with the cloud."""
 
 import orjson
-from standins import seconds
 from traces import served, worker_of
 
+from kelpjunction.lab.world import seconds
+
 
 def test_machine_that_does_not_answer_is_returned_and_its_tasks_run_elsewhere():
     world = served()
--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -1,10 +1,8 @@
 """Guests, whose team is guaranteed nothing: they use what others leave and give it back."""
 
-from datetime import UTC, datetime
-
-from standins import GUEST
 from traces import served
 
+from kelpjunction.lab.world import GUEST
 from kelpjunction.queue import Claim, shares
 from kelpjunction.settings import Team
 
@@ -12,9 +10,9 @@
 
 
 def test_a_guests_swarm_shares_one_weight():
-    now = datetime(2026, 1, 1, tzinfo=UTC)
-    claims = [Claim(f"j-{n}", "guest", now, 0.5, 0.0, True) for n in range(50)] + [Claim("j-a", "red", now, 2, 0, True)]
-    kept = shares(claims, {"guest": GUEST, "red": Team("red", 16.0, 0.0, None, None)})
+    claims = {"guest": [Claim(f"j-{n}", 0.5, 0.0) for n in range(50)], "red": [Claim("j-a", 2, 0)]}
+    waiting = {team: [c.ref for c in theirs] for team, theirs in claims.items()}
+    kept = shares(waiting, claims, {"guest": GUEST, "red": Team("red", 16.0, 0.0, None, None)})
     assert kept["j-0"] == 1 / 50
     assert kept["j-a"] == 1.0
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -2,9 +2,9 @@
 
 from dataclasses import replace
 
-from standins import seconds
 from traces import handed, only, served, worker_of
 
+from kelpjunction.lab.world import seconds
 from kelpjunction.queue import Rights
 
 # Launch
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -4,17 +4,18 @@
 
 import pytest
 from schedules import Schedule
-from standins import World, seconds
 from traces import served, worker_of
 
 from kelpjunction.jobs.book import Book
+from kelpjunction.lab.world import World, seconds
 
 
 def indexes(book: Book) -> dict:
     """What the book keeps up to date change by change."""
     counts = {ref: tuple(job.counts) for ref, job in book.jobs.items()}
     loads = {n: (round(x.cpus, 6), round(x.memory, 6), +x.images, set(x.placements)) for n, x in book.loads.items()}
-    return {"counts": counts, "loads": loads, "sets": [book.waiting, book.handed, book.cancelled, book.over]}
+    sets = [book.waiting, book.handed, book.cancelled, book.over]
+    return {"counts": counts, "loads": loads, "sets": sets, "held": dict(book.held)}
 
 
 def reckoned_afresh(book: Book) -> dict:
@@ -34,13 +35,28 @@
             images[p.spec.image] += 1
             loads[p.machine] = (cpus + p.spec.cpus, memory + p.spec.memory, images, tasks | {p.task})
     rounded = {n: (round(c, 6), round(m, 6), i, t) for n, (c, m, i, t) in loads.items()}
-    return {"counts": counts, "loads": rounded, "sets": sets}
+    held = Counter()
+    for ref, (_, placed, pending) in counts.items():
+        spec = book.jobs[ref].spec
+        held[spec.team, spec.cpus, spec.gpus] += placed + pending
+    return {"counts": counts, "loads": rounded, "sets": sets, "held": dict(+held)}
+
+
+def kept_views(slice_, node) -> tuple[dict, dict]:
+    """The views that rounds keep, and the same made afresh."""
+    made = [view for name in node.inventory.machines if (view := slice_._view(name)) is not None]
+    both = []
+    for views in (slice_._kept.fresh(), made):
+        both.append({v.name: [getattr(v, f) for f in v.__slots__ if f != "scratched"] for v in views})
+    return both[0], both[1]
 
 
 def check_indexes(world: World) -> None:
     for node in world.nodes.values():
         if node is not None:
             assert indexes(node.book) == reckoned_afresh(node.book)
+            for kept, made in (kept_views(node.holding, node), kept_views(node.leading, node)):
+                assert kept == made, "a machine changed and its view did not"
 
 
 @pytest.mark.parametrize("seed", range(12))
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -1,9 +1,10 @@
 """When a placement is settled, and when a lease has ended (points 3 and 4 of docs/design.md)."""
 
 import orjson
-from standins import seconds
 from traces import only, served, worker_of
 
+from kelpjunction.lab.world import seconds
+
 # Settling
 
 
--- a/tests/traces.py
+++ b/tests/traces.py
@@ -1,6 +1,6 @@
 """What many traces begin with."""
 
-from standins import World
+from kelpjunction.lab.world import World
 
 
 def served(machines: int = 6, **kwargs) -> World:
