An installed command with a lab: real nodes on loopback, faults, scenarios

A newcomer who followed the README got 503 for ever: there was no state service, cloud or worker. LOG_FORMAT=json gives structured lines.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+# `make test` checks everything; `make demo` shows it at work, in under two minutes.
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: test demo
+
+test: .venv/installed
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/python -m pytest -q
+
+demo: .venv/installed
+	$(BIN)/kelpjunction lab run examples/demo.toml
+
+.venv/installed: requirements.txt requirements-dev.txt pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/python -m pip install -q -r requirements-dev.txt
+	$(BIN)/python -m pip install -q --no-deps -e .
+	touch $@
--- /dev/null
+++ b/kelpjunction/cli/lab.py
@@ -0,0 +1,181 @@
+"""`lab …`: the whole service on this machine, to see it work and to break it."""
+
+import sys
+from datetime import timedelta
+from pathlib import Path
+
+import click
+import orjson
+
+from kelpjunction.transport import HttpTransport, NoAnswer
+
+DEFAULT_PORT = 18000
+_port = click.option(
+    "--port", default=DEFAULT_PORT, show_default=True, type=click.IntRange(1024, 60000), help="The lab's first port."
+)
+
+
+def _live(*args):
+    """A live site, its servers and processes; imported late, since nodes never need it."""
+    from kelpjunction.lab.live import LiveSite, Refused
+
+    try:
+        return LiveSite(*args)
+    except Refused as error:
+        click.echo(f"kelpjunction: {error}", err=True)
+        sys.exit(2)
+
+
+@click.group()
+def lab() -> None:
+    """The whole service on this machine: nodes, and stand-ins for all they need."""
+
+
+@lab.command()
+@click.option("--nodes", default=3, show_default=True, type=click.IntRange(1, 9))
+@click.option("--zones", default=3, show_default=True, type=click.IntRange(1, 9))
+@click.option("--machines", default=12, show_default=True, type=click.IntRange(1, 200))
+@click.option("--speed", default=1.0, show_default=True, type=click.FloatRange(0.1, 100), help="Of tasks and boots.")
+@click.option("--minutes", default=0.0, help="End by itself after this long; 0: only by Ctrl-C.")
+@_port
+def up(nodes: int, zones: int, machines: int, speed: float, minutes: float, port: int) -> None:
+    """Bring the lab up and show it until Ctrl-C.
+
+    \b
+    Example:
+      kelpjunction lab up --machines 24 --speed 5
+      kelpjunction job submit --tasks 8          (in a second terminal)
+      kelpjunction lab kill holdfast-0
+    """
+    from rich.live import Live
+
+    from kelpjunction.lab.table import render
+
+    site = _live(nodes, zones, machines, speed, port)
+    try:
+        with Live(render(site.status()), refresh_per_second=2) as table:
+            left = minutes * 60 or float("inf")
+            while left > 0:
+                site.run(0.5)
+                left -= 0.5
+                table.update(render(site.status()))
+    except KeyboardInterrupt:
+        click.echo("ending the lab")
+    finally:
+        site.close()
+
+
+@lab.command()
+@click.argument("scenario", type=click.Path(path_type=Path))
+@click.option("--simulated", is_flag=True, help="On a simulated clock, without processes: the same on every run.")
+@click.option("--seed", default=1, show_default=True, help="Of the simulated clock's run.")
+@click.option("--speed", default=1.0, show_default=True, type=click.FloatRange(0.1, 100))
+@click.option("--json", "as_json", is_flag=True, help="Print the summary as JSON.")
+@_port
+def run(scenario: Path, simulated: bool, seed: int, speed: float, as_json: bool, port: int) -> None:
+    """Play SCENARIO (TOML): load, faults, and a check of the rules.
+
+    Exit code 1 if a rule was broken or a job did not end as it should, 2 if
+    the file is wrong.
+
+    \b
+    Examples:
+      kelpjunction lab run examples/demo.toml
+      kelpjunction lab run examples/demo.toml --simulated --json
+    """
+    from kelpjunction.lab.scenario import Player, ScenarioError, load
+    from kelpjunction.lab.world import World
+
+    try:
+        what = load(scenario)
+    except ScenarioError as error:
+        click.echo(f"kelpjunction: {error}", err=True)
+        sys.exit(2)
+    if simulated:
+        site = World(seed=seed, machines=what["machines"], capacity=2 * what["machines"])
+    else:
+        site = _live(3, 3, what["machines"], speed, port)
+    player = Player(site, what, lambda line: click.echo(line, err=True))
+    try:
+        well = player.play()
+    finally:
+        if not simulated:
+            site.close()
+    summary = player.summary()
+    if as_json:
+        click.echo(orjson.dumps(summary, option=orjson.OPT_INDENT_2))
+    else:
+        for ref, entry in summary["jobs"].items():
+            took = "" if entry["took_s"] is None else f" after {entry['took_s']} s"
+            click.echo(f"{ref}: {entry['state']}{took}")
+        click.echo(f"{summary['starts']} starts in {summary['lasted_s']} s")
+        for problem in summary["problems"]:
+            click.echo(f"PROBLEM: {problem}")
+        click.echo("all ended as it should, no rule was broken" if well else "not all went as it should")
+    sys.exit(0 if well else 1)
+
+
+def _tell(port: int, fields: dict | None) -> dict:
+    """Ask the lab's control port; exit code 3 if no lab is up."""
+    from kelpjunction.lab.live import CONTROL_PORT
+
+    method, body = ("GET", None) if fields is None else ("POST", orjson.dumps(fields))
+    try:
+        reply = HttpTransport(1).request(f"127.0.0.1:{port + CONTROL_PORT}", method, "/", body, timedelta(seconds=5))
+    except NoAnswer:
+        click.echo(f"kelpjunction: no lab is up at port {port}; `kelpjunction lab up` starts one", err=True)
+        sys.exit(3)
+    if reply.status != 200:
+        click.echo(f"kelpjunction: {reply.fields.get('error', reply.status)}", err=True)
+        sys.exit(1)
+    return reply.fields
+
+
+@lab.command()
+@_port
+def status(port: int) -> None:
+    """Print what the lab's table shows, as JSON."""
+    click.echo(orjson.dumps(_tell(port, None), option=orjson.OPT_INDENT_2))
+
+
+@lab.command()
+@click.argument("node")
+@click.option("--back-after", "duration", default=0.0, help="Seconds until it is started again; 0: it stays dead.")
+@_port
+def kill(node: str, duration: float, port: int) -> None:
+    """Kill NODE's process; `leader` names the one that leads."""
+    do = {"do": "kill-leader"} if node == "leader" else {"do": "kill", "target": node}
+    _tell(port, do | {"seconds": duration})
+
+
+@lab.command()
+@click.argument("node")
+@_port
+def start(node: str, port: int) -> None:
+    """Start NODE again."""
+    _tell(port, {"do": "start", "target": node})
+
+
+@lab.command()
+@click.argument("node")
+@click.argument("seconds", type=click.FloatRange(0), default=10.0)
+@_port
+def freeze(node: str, seconds: float, port: int) -> None:
+    """Let NODE stand still for SECONDS, and then go on with what it believed."""
+    _tell(port, {"do": "freeze", "target": node, "seconds": seconds})
+
+
+@lab.command()
+@click.argument("seconds", type=click.FloatRange(0), default=20.0)
+@_port
+def outage(seconds: float, port: int) -> None:
+    """Take the state service away for SECONDS."""
+    _tell(port, {"do": "outage", "seconds": seconds})
+
+
+@lab.command()
+@click.argument("zone")
+@_port
+def lose(zone: str, port: int) -> None:
+    """Let all machines of ZONE die."""
+    _tell(port, {"do": "lose", "target": zone})
--- /dev/null
+++ b/kelpjunction/cli/serve.py
@@ -0,0 +1,72 @@
+"""`serve` and `check`: run one controller, or look at its settings only."""
+
+import os
+import sys
+
+import click
+
+from kelpjunction import __version__, logs
+from kelpjunction.settings import Operators, Platform, SettingsError, load_operators, load_platform
+
+_config = click.option("--config", required=True, type=click.Path(), help="The platform's settings file (TOML).")
+_operators = click.option(
+    "--operators",
+    type=click.Path(),
+    envvar="KELPJUNCTION_OPERATORS",
+    help="The operators' settings (JSON); see kelpjunction/operators.schema.json.",
+)
+
+
+def _load(config: str, operators: str | None) -> tuple[Platform, Operators]:
+    try:
+        return load_platform(config), load_operators(operators)
+    except SettingsError as error:
+        click.echo(f"kelpjunction: {error}", err=True)
+        sys.exit(2)
+
+
+@click.command()
+@_config
+@_operators
+def check(config: str, operators: str | None) -> None:
+    """Check both settings files; exit code 2 names what is wrong.
+
+    \b
+    Example:
+      kelpjunction check --config tests/example.toml
+    """
+    platform, _ = _load(config, operators)
+    click.echo(f"{platform.node}: settings are valid")
+
+
+@click.command()
+@_config
+@_operators
+@click.option("--check", "only_check", is_flag=True, help="Check both settings files and exit.")
+@click.version_option(__version__)
+def serve(config: str, operators: str | None, only_check: bool) -> None:
+    """Run one controller node until it is killed.
+
+    LOG_LEVEL is error, info (the default) or debug; LOG_FORMAT is line (the
+    default) or json.
+
+    \b
+    Example:
+      kelpjunction serve --config tests/example.toml
+    """
+    platform, tuning = _load(config, operators)
+    if only_check:
+        click.echo(f"{platform.node}: settings are valid")
+        return
+    # Imported late: --check and --help should not pay for the servers.
+    from kelpjunction.daemon import Daemon
+
+    daemon = Daemon(platform, tuning)
+    try:
+        logs.set_up(
+            os.environ.get("LOG_LEVEL", "info"), os.environ.get("LOG_FORMAT", "line"), platform.node, daemon.term
+        )
+    except ValueError as error:
+        click.echo(f"kelpjunction: {error}", err=True)
+        sys.exit(2)
+    daemon.run_forever()
--- /dev/null
+++ b/kelpjunction/lab/live.py
@@ -0,0 +1,320 @@
+"""A lab of real processes: nodes as `serve` runs them, and the stand-ins over HTTP, all on loopback.
+
+The state service, the cloud and each worker listen on ports of their own; a
+control port takes faults from a second terminal.  Tasks run, and machines
+boot, `speed` times as fast as they would.  All of it ends with the process.
+"""
+
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+from datetime import timedelta
+from pathlib import Path
+
+import gevent
+import orjson
+import tomli_w
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from kelpjunction.clock import seconds
+from kelpjunction.lab.site import CLOUD_LIMITS, STORE_LIMITS, TEAMS, Site
+from kelpjunction.lab.standins import WorkerStandIn
+from kelpjunction.transport import HttpTransport, NoAnswer, Reply
+from kelpjunction.wire.workers import CHECK_IN_PATH
+
+HOST = "127.0.0.1"
+STATE_PORT, CLOUD_PORT, CONTROL_PORT = 379, 443, 70  # above the lab's first port, as the nodes' are
+TICK = timedelta(milliseconds=100)
+USER_TIMEOUT = timedelta(seconds=5)
+WORKER_TIMEOUT = timedelta(seconds=4)
+REASONS = {200: "200 OK", 400: "400 Bad Request", 404: "404 Not Found", 409: "409 Conflict"}
+FAULTS = ("kill", "kill-leader", "start", "freeze", "outage", "lose")
+
+
+class Refused(Exception):
+    """A fault or a setting that can't be; the text says why."""
+
+
+class LiveClock:
+    """The steady clock, as stand-ins read it."""
+
+    @property
+    def now(self) -> timedelta:
+        return seconds(time.monotonic())
+
+
+class LiveSite(Site):
+    """Real nodes, and the stand-ins around them."""
+
+    def __init__(
+        self, nodes: int, zones: int, machines: int, speed: float, port: int, seed: int = 1, verbose: bool = False
+    ) -> None:
+        names = tuple("abcdefghijklmnopqrstuvwxyz"[:zones])
+        super().__init__(LiveClock(), seed, names, TEAMS, 2 * machines, speed)
+        self.node_count = nodes
+        self._port = port
+        self._verbose = verbose
+        self._transport = HttpTransport()
+        self._folder = tempfile.TemporaryDirectory(prefix="kelpjunction-lab-")
+        self._servers: list[WSGIServer] = []
+        self._changed = Event()
+        self.processes: dict[str, subprocess.Popen | None] = {f"holdfast-{n}": None for n in range(nodes)}
+        self._serve(STATE_PORT, self._state)
+        self._serve(CLOUD_PORT, self.cloud.handle)
+        self._serve(CONTROL_PORT, self._control)
+        for number in range(machines):
+            self.cloud.add(self.zones[number % zones], False, self.clock.now)
+        for name in self.processes:
+            self.start_node(name)
+
+    # -- servers ----------------------------------------------------------------
+
+    def _serve(self, offset: int, handle) -> int:
+        """Serve `handle(method, path, body) -> Reply` on loopback; returns the port."""
+
+        def application(environ, start_response):
+            body = environ["wsgi.input"].read()
+            query = environ.get("QUERY_STRING")
+            path = environ["PATH_INFO"] + (f"?{query}" if query else "")
+            try:
+                reply = handle(environ["REQUEST_METHOD"], path, orjson.loads(body) if body else {})
+            except (Refused, KeyError, ValueError, TypeError) as error:
+                reply = Reply(400, {"error": str(error)})
+            answer = orjson.dumps(reply.fields)
+            status = REASONS.get(reply.status, f"{reply.status} Refused")
+            start_response(status, [("Content-Type", "application/json"), ("Content-Length", str(len(answer)))])
+            return [answer]
+
+        port = self._port + offset if offset else 0
+        try:
+            server = WSGIServer((HOST, port), application, log=None)
+            server.start()
+        except OSError as error:
+            raise Refused(f"port {port} is taken: another lab may be up; --port names another") from error
+        self._servers.append(server)
+        return server.server_port
+
+    def address_of(self, worker: WorkerStandIn, number: int) -> str:
+        def handle(method: str, path: str, body: dict) -> Reply:
+            if not worker.alive or worker.cut:
+                gevent.sleep(WORKER_TIMEOUT.total_seconds())  # a machine without power does not answer
+            return worker.handle(method, path, body)
+
+        gevent.spawn(self._work, worker)
+        return f"{HOST}:{self._serve(0, handle)}"
+
+    def _work(self, worker: WorkerStandIn) -> None:
+        while True:
+            gevent.sleep(TICK.total_seconds())
+            worker.step()
+
+    def _state(self, method: str, path: str, body: dict) -> Reply:
+        """The state service; a watch waits for news, as PROTOCOL says."""
+        reply = self.store.handle(method, path, body)
+        if not path.startswith("/follow"):
+            if method != "GET":
+                self._changed.set()
+                self._changed.clear()
+            return reply
+        wait = int(path.rpartition("hold_ms=")[2].partition("&")[0] or 0) / 1000
+        until = time.monotonic() + wait
+        while reply.status == 200 and not reply.fields["news"] and time.monotonic() < until:
+            self._changed.wait(max(0.0, until - time.monotonic()))
+            reply = self.store.handle(method, path, body)
+        return reply
+
+    # -- nodes --------------------------------------------------------------------
+
+    def _node_address(self, number: int, internal: bool = False) -> str:
+        return f"{HOST}:{self._port + 80 + 100 * number + internal}"
+
+    def settings(self, name: str) -> dict:
+        """A node's settings file, as DEPLOY describes it."""
+        number = self.number_of(name)
+        zone = self.zones[number % len(self.zones)]
+        times = {f"{field}_s": getattr(self.times, field).total_seconds() for field in self.times.__slots__}
+        siblings = [
+            {
+                "node": f"holdfast-{n}",
+                "zone": self.zones[n % len(self.zones)],
+                "endpoint": self._node_address(n, internal=True),
+            }
+            for n in range(self.node_count)
+            if n != number
+        ]
+        teams = [
+            {"name": t.name, "cpus": t.cpus, "gpus": t.gpus, "cpus_max": t.cpus_max or 0.0, "gpus_max": 0.0}
+            for t in self.teams
+        ]
+        state = {
+            "rps": STORE_LIMITS.rps,
+            "write_rps": STORE_LIMITS.write_rps,
+            "value_kb": STORE_LIMITS.value_bytes / 1024,
+            "txn_ops": STORE_LIMITS.txn_ops,
+        }
+        cloud = {"rps": CLOUD_LIMITS.rps, "list_lag_s": CLOUD_LIMITS.list_lag.total_seconds()}
+        return {
+            "node": name,
+            "zone": zone,
+            "listen": self._node_address(number),
+            "internal_addr": self._node_address(number, internal=True),
+            "siblings": siblings,
+            "services": {
+                "cloud": f"{HOST}:{self._port + CLOUD_PORT}",
+                "state": f"{HOST}:{self._port + STATE_PORT}",
+            },
+            "params": {"zones": list(self.zones), "teams": teams, "workers": times, "state": state, "cloud": cloud},
+        }
+
+    def start_node(self, name: str) -> None:
+        """Start a node's process, unless it runs."""
+        process = self.processes[name]
+        if process is not None and process.poll() is None:
+            return
+        address = self.settings(name)["listen"]
+        host, _, port = address.partition(":")
+        with socket.socket() as probe:
+            if probe.connect_ex((host, int(port))) == 0:
+                raise Refused(f"{address} is taken: another lab may be up; --port names another")
+        file = Path(self._folder.name) / f"{name}.toml"
+        file.write_text(tomli_w.dumps(self.settings(name)))
+        log = (Path(self._folder.name) / f"{name}.log").open("ab")
+        with log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "kelpjunction", "serve", "--config", str(file)],
+                stderr=None if self._verbose else log,
+                cwd=Path(__file__).resolve().parents[2],
+            )
+
+    def kill_node(self, name: str) -> None:
+        process = self.processes[name]
+        if process is not None:
+            process.kill()
+            process.wait()
+
+    def leader(self) -> str | None:
+        """The node that the state service says leads."""
+        entry = self.store.data.get("l/lead")
+        return entry[0]["node"] if entry else None
+
+    def close(self) -> None:
+        """End all that this lab started."""
+        for name in self.processes:
+            self.kill_node(name)
+        for server in self._servers:
+            server.stop(timeout=0.1)
+        self._folder.cleanup()
+
+    # -- messages -----------------------------------------------------------------
+
+    def ask(self, method: str, path: str, body: bytes, node: str | None) -> tuple[int, dict]:
+        numbers = [self.number_of(node)] if node else random.sample(range(self.node_count), self.node_count)
+        for number in numbers:
+            try:
+                return self._transport.request(self._node_address(number), method, path, body or None, USER_TIMEOUT)
+            except NoAnswer:
+                continue
+        return 503, {}
+
+    def reach_node(self, worker: WorkerStandIn, number: int, fields: dict) -> tuple[int, dict]:
+        if worker.cut:
+            gevent.sleep(WORKER_TIMEOUT.total_seconds())
+            raise NoAnswer("cut")
+        address = self._node_address(number)
+        return self._transport.request(address, "POST", CHECK_IN_PATH, orjson.dumps(fields), WORKER_TIMEOUT)
+
+    def job(self, ref: str) -> dict:
+        if ref not in self.jobs:
+            # It came from a second terminal: what was uploaded is what the nodes stored.
+            self.jobs[ref] = self.store.data[f"l/job/{ref}"][0]["spec"]
+        return self.jobs[ref]
+
+    # -- faults -------------------------------------------------------------------
+
+    def fault(self, do: str, target: str = "", duration: float = 0.0) -> None:
+        """Cause a fault, ending it by itself after `duration` seconds where it lasts; raises `Refused`."""
+        if do not in FAULTS:
+            raise Refused(f"unknown fault {do!r}: {', '.join(FAULTS)}")
+        if do == "kill-leader":
+            target = self.leader() or ""
+        if do in ("kill", "kill-leader", "start", "freeze") and target not in self.processes:
+            raise Refused(f"unknown node {target!r}: {', '.join(self.processes)}")
+        if do == "lose" and target not in self.zones:
+            raise Refused(f"unknown zone {target!r}: {', '.join(self.zones)}")
+        if do in ("kill", "kill-leader"):
+            self.kill_node(target)
+            if duration:
+                gevent.spawn_later(duration, self.start_node, target)
+        elif do == "start":
+            self.start_node(target)
+        elif do == "freeze":
+            self._freeze(target, duration)
+        elif do == "outage":
+            self.store.outage(True)
+            gevent.spawn_later(duration, self.store.outage, False)
+        else:
+            self.lose(target)
+
+    def _freeze(self, name: str, duration: float) -> None:
+        process = self.processes[name]
+        if process is None or process.poll() is not None:
+            raise Refused(f"{name} does not run")
+        os.kill(process.pid, signal.SIGSTOP)
+
+        def go_on() -> None:
+            if process.poll() is None:
+                os.kill(process.pid, signal.SIGCONT)
+
+        gevent.spawn_later(duration, go_on)
+
+    def _control(self, method: str, path: str, body: dict) -> Reply:
+        if method == "POST":
+            self.fault(body["do"], body.get("target", ""), float(body.get("seconds", 0)))
+            return Reply(200, {})
+        return Reply(200, self.status())
+
+    # -- a look ---------------------------------------------------------------------
+
+    def status(self) -> dict:
+        """What the lab's table shows."""
+        live = Counter(frond.partition("/")[0] for frond, _ in self._live())
+        specs = {k.removeprefix("l/job/"): v[0]["spec"] for k, v in self.store.data.items() if k.startswith("l/job/")}
+        ends = {k.removeprefix("e/"): v[0]["end"] for k, v in self.store.data.items() if k.startswith("e/")}
+        jobs = {
+            ref: {"team": spec["crew"], "shape": spec["shape"], "tasks": spec["fronds"], "running": live[ref]}
+            for ref, spec in specs.items()
+        }
+        usage = Counter()
+        for ref, count in live.items():
+            usage[self.job(ref)["crew"]] += count * self.job(ref)["cpus"]
+        workers = [worker for worker, _ in self.cloud.machines.values()]
+        return {
+            "nodes": {n: "up" if p is not None and p.poll() is None else "down" for n, p in self.processes.items()},
+            "leader": self.leader(),
+            "blocks": {z: (self.store.data.get(f"l/block/{z}") or [{}])[0].get("holder") for z in self.zones},
+            "state": "outage" if self.store.out else "up",
+            "machines": {z: sum(w.alive for w in workers if w.zone == z) for z in self.zones},
+            "teams": {t.name: {"cpus": usage[t.name], "guaranteed": t.cpus, "limit": t.cpus_max} for t in self.teams},
+            "jobs": jobs,
+            "ended": ends,
+            "broken": self.broken,
+        }
+
+    def run(self, duration: float, until=None) -> bool:
+        """Let time pass; whether `until` came true."""
+        end = time.monotonic() + duration
+        while time.monotonic() < end:
+            self.store.expire()
+            self._changed.set()
+            self._changed.clear()
+            if until is not None and until():
+                return True
+            gevent.sleep(TICK.total_seconds())
+        return until is None
--- a/kelpjunction/wire/users.py
+++ b/kelpjunction/wire/users.py
@@ -141,6 +141,22 @@
     return orjson.dumps(fields)
 
 
+def job_fields(ref: str, team: str, shape: str, tasks: int, cpus: float, memory: float, run: float) -> dict:
+    """A plain submission: `shape` is array, gang or service; `memory` in GB, `run` in seconds."""
+    fields = {
+        "ref": ref, "stripe": "command-line", "crew": team, "fronds": tasks, "cpus": cpus, "ram_gb": memory,
+        "shape": next(name for name, known in _SHAPES.items() if known.value == shape),
+        "urgency": "prod" if shape == "service" else "standard",
+        "bundle": "command-line", "image_gb": 0.5, "expect_s": 0.0 if shape == "service" else run,
+    }  # fmt: skip
+    return fields | ({"mark_s": 5.0, "stow_s": 1.0} if shape == "gang" else {})
+
+
+def is_final(answer: dict) -> bool:
+    """Whether an answer about a job will never change."""
+    return answer.get("tide") in (_PHASES[JobPhase.DONE], _PHASES[JobPhase.CANCELLED])
+
+
 def error_answer(text: str) -> bytes:
     """The body of a refusal: one plain line."""
     return orjson.dumps({"error": text.replace("\n", " ")[:500]})
--- a/run.py
+++ b/run.py
@@ -11,7 +11,7 @@
     if folder.is_dir():
         sys.path.insert(0, str(folder))
 
-from kelpjunction.cli import main  # noqa: E402
+from kelpjunction.cli.serve import serve  # noqa: E402
 
 if __name__ == "__main__":
-    main(prog_name="kelpjunction")
+    serve(prog_name="kelpjunction")
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -8,9 +8,9 @@
 import pytest
 from click.testing import CliRunner
 from gevent.pywsgi import WSGIServer
-from standins import World
 
-from kelpjunction.cli import main
+from kelpjunction.cli.serve import serve
+from kelpjunction.lab.world import World
 from kelpjunction.settings import SettingsError, load_operators, load_platform
 from kelpjunction.transport import HttpTransport
 from kelpjunction.wire.users import Malformed, fields_to_keep, parse_job
@@ -25,15 +25,15 @@
 
 def test_command_line_checks_settings_and_names_what_is_wrong(tmp_path):
     run = CliRunner().invoke
-    assert run(main, ["--config", str(EXAMPLE), "--check"]).exit_code == 0
+    assert run(serve, ["--config", str(EXAMPLE), "--check"]).exit_code == 0
     broken = tmp_path / "broken.toml"
     broken.write_text(EXAMPLE.read_text().replace("lease_s = 15.0", 'lease_s = "long"'))
-    result = run(main, ["--config", str(broken), "--check"])
+    result = run(serve, ["--config", str(broken), "--check"])
     assert result.exit_code == 2
     assert "lease_s" in result.output
     operators = tmp_path / "operators.json"
     operators.write_text('{"round_s": 0.5, "rounds": 3}')
-    result = run(main, ["--config", str(EXAMPLE), "--operators", str(operators), "--check"])
+    result = run(serve, ["--config", str(EXAMPLE), "--operators", str(operators), "--check"])
     assert result.exit_code == 2
     assert "rounds" in result.output
 
