--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -17,7 +17,7 @@
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.fleet.machines import Inventory
 from kelpjunction.fleet.watch import Watch
-from kelpjunction.http import Application, PeerApplication, ask_peer
+from kelpjunction.http import Application, Handler, PeerApplication, ask_peer
 from kelpjunction.intake import Intake
 from kelpjunction.jobs.blame import Blame
 from kelpjunction.jobs.book import JOB_PREFIX, RUN_PREFIX, Book
@@ -34,7 +34,7 @@
 
 log = logging.getLogger("daemon")
 
-COALESCE = timedelta(milliseconds=50)
+COALESCE = timedelta(milliseconds=70)
 LONGEST_PAUSE = timedelta(milliseconds=250)
 PAUSE_AFTER_TROUBLE = timedelta(milliseconds=250)
 FEW_SOCKETS = 20
@@ -242,6 +242,7 @@
             application,
             spawn=pool,
             log=None,
+            handler_class=Handler,
             error_log=logging.getLogger("http"),
             backlog=256,
         )
--- a/kelpjunction/http.py
+++ b/kelpjunction/http.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import orjson
+from gevent.pywsgi import WSGIHandler
 
 from kelpjunction.intake import Answer
 from kelpjunction.transport import NoAnswer, Transport
@@ -58,6 +59,13 @@
     return body
 
 
+class Handler(WSGIHandler):
+    """One connection.  There is no access log, so its lines are not put together either."""
+
+    def log_request(self) -> None:
+        pass
+
+
 class Application:
     """What users, workers and the load balancer reach."""
 
