--- a/benchmarks/round.py
+++ b/benchmarks/round.py
@@ -100,7 +100,10 @@
     """Time a node's calls at several sizes of fleet."""
     if only is not None:
         # The same stand-ins for both, those of today.
-        sys.path[:0] = [str(root), str(ROOT / "tests")]
+        sys.path[:0] = [str(root)]
+        import kelpjunction
+
+        kelpjunction.__path__.append(str(ROOT / "kelpjunction"))
         sys.stdout.buffer.write(orjson.dumps(costs(only)))
         return
     with tempfile.TemporaryDirectory() as folder:
--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -221,8 +221,8 @@
     def run_forever(self) -> None:
         """Serve until the process is killed."""
         incoming = self._platform.max_sockets - self._outgoing - 2 * FEW_SOCKETS
-        users = self._server(self._platform.listen, Application(self.node), Pool(incoming))
-        peers = self._server(self._platform.internal, PeerApplication(self.node), Pool(FEW_SOCKETS))
+        users = self._server(self._platform.listen, Application(self.node.intake, self.node.check_in), Pool(incoming))
+        peers = self._server(self._platform.internal, PeerApplication(self.node.intake), Pool(FEW_SOCKETS))
         users.start()
         peers.start()
         # A node makes much garbage and few cycles: looking for them as often
--- a/kelpjunction/fleet/watch.py
+++ b/kelpjunction/fleet/watch.py
@@ -78,7 +78,8 @@
                 self._spawn(self._roster.visit, machine.address)
 
     def mine(self) -> list[Machine]:
-        return [m for m in self._inventory.machines.values() if self._blocks.mine(m.zone) is not None]
+        zones = set(self._blocks.my_zones())
+        return [m for m in self._inventory.machines.values() if m.zone in zones]
 
     def _images_of(self, name: str) -> list[str]:
         machine = self._inventory.machines.get(name)
--- a/kelpjunction/http.py
+++ b/kelpjunction/http.py
@@ -4,19 +4,15 @@
 import math
 from collections.abc import Callable, Iterable
 from datetime import timedelta
-from typing import TYPE_CHECKING
 
 import orjson
 from gevent.pywsgi import WSGIHandler
 
-from kelpjunction.intake import Answer
+from kelpjunction.intake import Answer, Intake
 from kelpjunction.transport import NoAnswer, Transport
 from kelpjunction.wire import users, workers
 from kelpjunction.wire.users import Malformed
 
-if TYPE_CHECKING:
-    from kelpjunction.daemon import Node
-
 log = logging.getLogger("http")
 
 _REASONS = {
@@ -69,9 +65,9 @@
 class Application:
     """What users, workers and the load balancer reach."""
 
-    def __init__(self, node: "Node") -> None:
-        self._node = node
-        self._intake = node.intake
+    def __init__(self, intake: Intake, check_in: Callable[[bytes], tuple[int, bytes]]) -> None:
+        self._intake = intake
+        self._check_in = check_in
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         try:
@@ -85,7 +81,7 @@
 
     def _route(self, method: str, path: str, environ: dict) -> Answer:
         if path == workers.CHECK_IN_PATH:
-            return Answer(*self._node.check_in(_body(environ))) if method == "POST" else _not_allowed()
+            return Answer(*self._check_in(_body(environ))) if method == "POST" else _not_allowed()
         if path == users.HEALTH_PATH:
             healthy = self._intake.healthy()
             return Answer(200 if healthy else 503, b"{}")
@@ -109,13 +105,13 @@
 class PeerApplication:
     """What siblings may ask: whether this node hears the state service."""
 
-    def __init__(self, node: "Node") -> None:
-        self._node = node
+    def __init__(self, intake: Intake) -> None:
+        self._intake = intake
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         if environ["PATH_INFO"] != PEER_PATH:
             return _respond(start_response, Answer(404, b"{}"))
-        return _respond(start_response, Answer(200, orjson.dumps({"fresh": self._node.intake.fresh})))
+        return _respond(start_response, Answer(200, orjson.dumps({"fresh": self._intake.fresh})))
 
 
 def ask_peer(transport: Transport, address: str) -> bool:
