--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -34,13 +34,13 @@
 
 log = logging.getLogger("daemon")
 
-COALESCE = timedelta(milliseconds=70)
+COALESCE = timedelta(milliseconds=50)
 LONGEST_PAUSE = timedelta(milliseconds=250)
 PAUSE_AFTER_TROUBLE = timedelta(milliseconds=250)
 FEW_SOCKETS = 20
 GC_THRESHOLDS = (20_000, 20, 50)
 PEER_EVERY = timedelta(seconds=1)
-REQUEST_SHARE = 0.2
+REQUEST_SHARE = 0.3
 WRITE_SHARE = 0.6  # of the store's rate of changes: the leader needs more than a third, seldom all nodes at once
 
 
