One list of the lab's faults, one set of options for commands that ask a node

Both stood twice or more: the faults in the scenario's schema and in the lab, the options on four commands. Nothing behaves otherwise; tests unchanged.

--- a/kelpjunction/cli/jobs.py
+++ b/kelpjunction/cli/jobs.py
@@ -27,6 +27,11 @@
 )
 
 
+def _asking(command: Callable) -> Callable:
+    """The options of every command that asks a node."""
+    return _nodes(_patience(_json(command)))
+
+
 class Caller:
     """Asks one node after the other until one gives an answer that counts."""
 
@@ -86,9 +91,7 @@
 @click.option("--cpus", type=float, default=2.0, show_default=True, help="CPUs of each task.")
 @click.option("--memory", type=float, default=4.0, show_default=True, help="GB of each task.")
 @click.option("--seconds", type=float, default=10.0, show_default=True, help="How long a task is expected to run.")
-@_nodes
-@_patience
-@_json
+@_asking
 def submit(
     file: Path | None,
     ref: str | None,
@@ -127,9 +130,7 @@
 
 @job.command()
 @click.argument("ref")
-@_nodes
-@_patience
-@_json
+@_asking
 def show(ref: str, nodes: str, patience: float, as_json: bool) -> None:
     """Show how a job stands."""
     _print(Caller(nodes, patience).ask("GET", f"{users.JOBS_PATH}/{ref}"), as_json)
@@ -138,9 +139,7 @@
 @job.command()
 @click.argument("ref")
 @click.option("--every", type=click.FloatRange(0.2), default=POLL_EVERY.total_seconds(), help="Seconds between polls.")
-@_nodes
-@_patience
-@_json
+@_asking
 def watch(ref: str, every: float, nodes: str, patience: float, as_json: bool) -> None:
     """Follow a job until it is done or cancelled."""
     caller, last = Caller(nodes, patience), None
@@ -156,9 +155,7 @@
 
 @job.command()
 @click.argument("ref")
-@_nodes
-@_patience
-@_json
+@_asking
 def abort(ref: str, nodes: str, patience: float, as_json: bool) -> None:
     """Cancel a job; says `done` if it was done already."""
     _print(Caller(nodes, patience).ask("POST", f"{users.JOBS_PATH}/{ref}{users.ABORT_END}"), as_json)
--- a/kelpjunction/lab/live.py
+++ b/kelpjunction/lab/live.py
@@ -24,7 +24,7 @@
 from gevent.pywsgi import WSGIServer
 
 from kelpjunction.clock import seconds
-from kelpjunction.lab.site import CLOUD_LIMITS, STORE_LIMITS, TEAMS, Site
+from kelpjunction.lab.site import CLOUD_LIMITS, FAULTS, STORE_LIMITS, TEAMS, Site
 from kelpjunction.lab.standins import WorkerStandIn
 from kelpjunction.transport import HttpTransport, NoAnswer, Reply
 from kelpjunction.wire.workers import CHECK_IN_PATH
@@ -35,7 +35,6 @@
 USER_TIMEOUT = timedelta(seconds=5)
 WORKER_TIMEOUT = timedelta(seconds=4)
 REASONS = {200: "200 OK", 400: "400 Bad Request", 404: "404 Not Found", 409: "409 Conflict"}
-FAULTS = ("kill", "kill-leader", "start", "freeze", "outage", "lose")
 
 
 class Refused(Exception):
--- a/kelpjunction/lab/scenario.py
+++ b/kelpjunction/lab/scenario.py
@@ -10,7 +10,7 @@
 
 import fastjsonschema
 
-from kelpjunction.lab.site import Site
+from kelpjunction.lab.site import FAULTS, Site
 from kelpjunction.wire import users
 
 POLL_EVERY = 2.0  # seconds
@@ -53,7 +53,7 @@
                     "additionalProperties": False,
                     "properties": {
                         "at_s": _NUMBER,
-                        "do": {"enum": ["kill", "kill-leader", "start", "freeze", "outage", "lose"]},
+                        "do": {"enum": list(FAULTS)},
                         "target": {"type": "string", "default": ""},
                         "seconds": _NUMBER | {"default": 0},
                     },
--- a/kelpjunction/lab/site.py
+++ b/kelpjunction/lab/site.py
@@ -16,6 +16,7 @@
 TIMES = WorkerTimes(seconds(2), seconds(15), seconds(30), seconds(5), seconds(40))
 STORE_LIMITS = StoreLimits(250.0, 100.0, 8192, 12)
 CLOUD_LIMITS = CloudLimits(4.0, seconds(5))
+FAULTS = ("kill", "kill-leader", "start", "freeze", "outage", "lose")
 
 
 class Site:
