The lab's faults are checked, its seed moves a run, and with no node left users are refused

With all nodes killed at once a scenario ended in an IndexError, freeze of the leader in a KeyError, a fault on a target that does not exist was passed over while the run said that all ended well, and six seeds gave six equal runs.

One list of targets (node names, leader, all, zones) for the simulated world and for processes, checked when a scenario is read (exit code 2 names fault[n].target) and when the fault falls: one that cannot be then is a problem of the run. Users without a node meet refused connections. The seed moves arrivals within a second, run, boot and report times, the delay, order and loss of messages; the same seed repeats the run. Short runs no longer keep the simulated nodes' slow loops from their turn.

--- a/kelpjunction/cli/lab.py
+++ b/kelpjunction/cli/lab.py
@@ -17,7 +17,8 @@
 
 def _live(*args):
     """A live site, its servers and processes; imported late, since nodes never need it."""
-    from kelpjunction.lab.live import LiveSite, Refused
+    from kelpjunction.lab.live import LiveSite
+    from kelpjunction.lab.site import Refused
 
     try:
         return LiveSite(*args)
@@ -68,7 +69,7 @@
 @lab.command()
 @click.argument("scenario", type=click.Path(path_type=Path))
 @click.option("--simulated", is_flag=True, help="On a simulated clock, without processes: the same on every run.")
-@click.option("--seed", default=1, show_default=True, help="Of the simulated clock's run.")
+@click.option("--seed", default=1, show_default=True, help="Moves arrivals, run and boot times, and messages.")
 @click.option("--speed", default=1.0, show_default=True, type=click.FloatRange(0.1, 100))
 @click.option("--json", "as_json", is_flag=True, help="Print the summary as JSON.")
 @_port
@@ -84,22 +85,22 @@
       kelpjunction lab run examples/demo.toml --simulated --json
     """
     from kelpjunction.lab.scenario import Player, ScenarioError, load
-    from kelpjunction.lab.world import World
+    from kelpjunction.lab.world import Weather, World
 
+    site = None
     try:
         what = load(scenario)
+        if simulated:
+            site = World(seed=seed, machines=what["machines"], capacity=2 * what["machines"], weather=Weather())
+        else:
+            site = _live(3, 3, what["machines"], speed, port, seed)
+        player = Player(site, what, lambda line: click.echo(line, err=True))
+        well = player.play()
     except ScenarioError as error:
-        click.echo(f"kelpjunction: {error}", err=True)
+        click.echo(f"kelpjunction: {scenario}: {error}", err=True)
         sys.exit(2)
-    if simulated:
-        site = World(seed=seed, machines=what["machines"], capacity=2 * what["machines"])
-    else:
-        site = _live(3, 3, what["machines"], speed, port)
-    player = Player(site, what, lambda line: click.echo(line, err=True))
-    try:
-        well = player.play()
     finally:
-        if not simulated:
+        if site is not None and not simulated:
             site.close()
     summary = player.summary()
     if as_json:
@@ -143,16 +144,15 @@
 @click.option("--back-after", "duration", default=0.0, help="Seconds until it is started again; 0: it stays dead.")
 @_port
 def kill(node: str, duration: float, port: int) -> None:
-    """Kill NODE's process; `leader` names the one that leads."""
-    do = {"do": "kill-leader"} if node == "leader" else {"do": "kill", "target": node}
-    _tell(port, do | {"seconds": duration})
+    """Kill NODE's process; `leader` names the one that leads, `all` every one."""
+    _tell(port, {"do": "kill", "target": node, "seconds": duration})
 
 
 @lab.command()
 @click.argument("node")
 @_port
 def start(node: str, port: int) -> None:
-    """Start NODE again."""
+    """Start NODE again; `all` names every one that does not run."""
     _tell(port, {"do": "start", "target": node})
 
 
@@ -161,7 +161,7 @@
 @click.argument("seconds", type=click.FloatRange(0), default=10.0)
 @_port
 def freeze(node: str, seconds: float, port: int) -> None:
-    """Let NODE stand still for SECONDS, and then go on with what it believed."""
+    """Let NODE (or `leader`, or `all`) stand still for SECONDS, and then go on with what it believed."""
     _tell(port, {"do": "freeze", "target": node, "seconds": seconds})
 
 
--- a/kelpjunction/lab/live.py
+++ b/kelpjunction/lab/live.py
@@ -6,7 +6,6 @@
 """
 
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -24,7 +23,7 @@
 from gevent.pywsgi import WSGIServer
 
 from kelpjunction.clock import seconds
-from kelpjunction.lab.site import CLOUD_LIMITS, FAULTS, STORE_LIMITS, TEAMS, Site
+from kelpjunction.lab.site import CLOUD_LIMITS, STORE_LIMITS, TEAMS, Refused, Site
 from kelpjunction.lab.standins import WorkerStandIn
 from kelpjunction.transport import HttpTransport, NoAnswer, Reply
 from kelpjunction.wire.workers import CHECK_IN_PATH
@@ -37,10 +36,6 @@
 REASONS = {200: "200 OK", 400: "400 Bad Request", 404: "404 Not Found", 409: "409 Conflict"}
 
 
-class Refused(Exception):
-    """A fault or a setting that can't be; the text says why."""
-
-
 class LiveClock:
     """The steady clock, as stand-ins read it."""
 
@@ -58,13 +53,14 @@
         names = tuple("abcdefghijklmnopqrstuvwxyz"[:zones])
         super().__init__(LiveClock(), seed, names, TEAMS, 2 * machines, speed)
         self.node_count = nodes
+        self.varied = True
         self._port = port
         self._verbose = verbose
         self._transport = HttpTransport()
         self._folder = tempfile.TemporaryDirectory(prefix="kelpjunction-lab-")
         self._servers: list[WSGIServer] = []
         self._changed = Event()
-        self.processes: dict[str, subprocess.Popen | None] = {f"holdfast-{n}": None for n in range(nodes)}
+        self.processes: dict[str, subprocess.Popen | None] = dict.fromkeys(self.node_names)
         self._serve(STATE_PORT, self._state)
         self._serve(CLOUD_PORT, self.cloud.handle)
         self._serve(CONTROL_PORT, self._control)
@@ -174,8 +170,7 @@
 
     def start_node(self, name: str) -> None:
         """Start a node's process, unless it runs."""
-        process = self.processes[name]
-        if process is not None and process.poll() is None:
+        if self.runs(name):
             return
         address = self.settings(name)["listen"]
         host, _, port = address.partition(":")
@@ -198,7 +193,11 @@
             process.kill()
             process.wait()
 
-    def leader(self) -> str | None:
+    def runs(self, name: str) -> bool:
+        process = self.processes[name]
+        return process is not None and process.poll() is None
+
+    def leader_name(self) -> str | None:
         """The node that the state service says leads."""
         entry = self.store.data.get("l/lead")
         return entry[0]["node"] if entry else None
@@ -214,13 +213,13 @@
     # -- messages -----------------------------------------------------------------
 
     def ask(self, method: str, path: str, body: bytes, node: str | None) -> tuple[int, dict]:
-        numbers = [self.number_of(node)] if node else random.sample(range(self.node_count), self.node_count)
+        numbers = [self.number_of(node)] if node else self.random.sample(range(self.node_count), self.node_count)
         for number in numbers:
             try:
                 return self._transport.request(self._node_address(number), method, path, body or None, USER_TIMEOUT)
             except NoAnswer:
                 continue
-        return 503, {}
+        raise NoAnswer("every node refuses the connection")
 
     def reach_node(self, worker: WorkerStandIn, number: int, fields: dict) -> tuple[int, dict]:
         if worker.cut:
@@ -237,41 +236,14 @@
 
     # -- faults -------------------------------------------------------------------
 
-    def fault(self, do: str, target: str = "", duration: float = 0.0) -> None:
-        """Cause a fault, ending it by itself after `duration` seconds where it lasts; raises `Refused`."""
-        if do not in FAULTS:
-            raise Refused(f"unknown fault {do!r}: {', '.join(FAULTS)}")
-        if do == "kill-leader":
-            target = self.leader() or ""
-        if do in ("kill", "kill-leader", "start", "freeze") and target not in self.processes:
-            raise Refused(f"unknown node {target!r}: {', '.join(self.processes)}")
-        if do == "lose" and target not in self.zones:
-            raise Refused(f"unknown zone {target!r}: {', '.join(self.zones)}")
-        if do in ("kill", "kill-leader"):
-            self.kill_node(target)
-            if duration:
-                gevent.spawn_later(duration, self.start_node, target)
-        elif do == "start":
-            self.start_node(target)
-        elif do == "freeze":
-            self._freeze(target, duration)
-        elif do == "outage":
-            self.store.outage(True)
-            gevent.spawn_later(duration, self.store.outage, False)
-        else:
-            self.lose(target)
-
-    def _freeze(self, name: str, duration: float) -> None:
+    def later(self, duration: float, act) -> None:
+        if duration:
+            gevent.spawn_later(duration, act)
+
+    def suspend_node(self, name: str, duration: float) -> None:
         process = self.processes[name]
-        if process is None or process.poll() is not None:
-            raise Refused(f"{name} does not run")
         os.kill(process.pid, signal.SIGSTOP)
-
-        def go_on() -> None:
-            if process.poll() is None:
-                os.kill(process.pid, signal.SIGCONT)
-
-        gevent.spawn_later(duration, go_on)
+        self.later(duration, lambda: process.poll() is None and os.kill(process.pid, signal.SIGCONT))
 
     def _control(self, method: str, path: str, body: dict) -> Reply:
         if method == "POST":
@@ -296,7 +268,7 @@
         workers = [worker for worker, _ in self.cloud.machines.values()]
         return {
             "nodes": {n: "up" if p is not None and p.poll() is None else "down" for n, p in self.processes.items()},
-            "leader": self.leader(),
+            "leader": self.leader_name(),
             "blocks": {z: (self.store.data.get(f"l/block/{z}") or [{}])[0].get("holder") for z in self.zones},
             "state": "outage" if self.store.out else "up",
             "machines": {z: sum(w.alive for w in workers if w.zone == z) for z in self.zones},
--- a/kelpjunction/lab/scenario.py
+++ b/kelpjunction/lab/scenario.py
@@ -10,10 +10,11 @@
 
 import fastjsonschema
 
-from kelpjunction.lab.site import FAULTS, Site
+from kelpjunction.lab.site import FAULTS, Refused, Site
 from kelpjunction.wire import users
 
-POLL_EVERY = 2.0  # seconds
+POLL_EVERY = 0.5  # seconds
+ARRIVAL_SPREAD = 1.0  # seconds that the seed may move a submission by
 CANCEL_WITHIN = 45.0
 
 _NUMBER = {"type": "number", "minimum": 0}
@@ -65,7 +66,7 @@
 
 
 class ScenarioError(Exception):
-    """A scenario file can't be used; the text names the file and the field."""
+    """A scenario file can't be used; the text names the field."""
 
 
 @dataclass(slots=True)
@@ -83,9 +84,9 @@
     try:
         return _check(tomllib.loads(path.read_text()))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        raise ScenarioError(f"{path}: {error}") from error
+        raise ScenarioError(str(error)) from error
     except fastjsonschema.JsonSchemaValueException as error:
-        raise ScenarioError(f"{path}: {error.message.removeprefix('data.')}") from error
+        raise ScenarioError(error.message.removeprefix("data.")) from error
 
 
 class Player:
@@ -97,6 +98,12 @@
         self._tell = tell
         self._began = site.clock.now
         self.jobs: dict[str, Played] = {}
+        self._refused: list[str] = []  # faults that could not be
+        for number, fault in enumerate(scenario["fault"]):
+            try:
+                site.check_fault(fault["do"], fault["target"])
+            except Refused as error:
+                raise ScenarioError(f"fault[{number}].target: {error}") from error
 
     @property
     def _now(self) -> float:
@@ -104,7 +111,10 @@
 
     def play(self) -> bool:
         """Play it all; whether every job ended as it should and no rule was broken."""
-        events = [(job["at_s"], self._submit, job) for job in self._scenario["job"]]
+        late = ARRIVAL_SPREAD if self._site.varied else 0.0
+        events = [
+            (job["at_s"] + self._site.random.uniform(0, late), self._submit, job) for job in self._scenario["job"]
+        ]
         events += [(fault["at_s"], self._fault, fault) for fault in self._scenario["fault"]]
         for at, act, what in sorted(events, key=lambda event: event[0]):
             self._pass(until=at)
@@ -125,8 +135,12 @@
             self._tell(f"{self._now:6.1f} s  {played.fields['ref']} accepted")
 
     def _fault(self, fault: dict) -> None:
-        self._tell(f"{self._now:6.1f} s  {fault['do']} {fault['target']}".rstrip())
-        self._site.fault(fault["do"], fault["target"], fault["seconds"])
+        what = f"{fault['do']} {fault['target']}".rstrip()
+        self._tell(f"{self._now:6.1f} s  {what}")
+        try:
+            self._site.fault(fault["do"], fault["target"], fault["seconds"])
+        except Refused as error:
+            self._refused.append(f"fault at {fault['at_s']:g} s, {what}: {error}")
 
     def _pass(self, until: float, early=lambda: False) -> None:
         while self._now < until and not early():
@@ -170,7 +184,7 @@
     def problems(self) -> list[str]:
         """What did not go as it should."""
         left = [f"{ref}: {p.state}" for ref, p in self.jobs.items() if p.ended is None]
-        return left + list(dict.fromkeys(self._site.broken))
+        return left + self._refused + list(dict.fromkeys(self._site.broken))
 
     def summary(self) -> dict:
         """The figures of the run, as `lab run --json` prints them."""
--- a/kelpjunction/lab/site.py
+++ b/kelpjunction/lab/site.py
@@ -3,12 +3,14 @@
 import random
 from collections.abc import Callable, Iterator
 from datetime import timedelta
+from typing import Any
 
 import orjson
 
 from kelpjunction.clock import seconds
 from kelpjunction.lab.standins import CloudStandIn, StoreStandIn, WorkerStandIn
 from kelpjunction.settings import CloudLimits, StoreLimits, Team, WorkerTimes
+from kelpjunction.transport import NoAnswer
 from kelpjunction.wire.users import ABORT_END, JOBS_PATH
 
 GUEST = Team("guest", 0.0, 0.0, None, None)
@@ -17,14 +19,22 @@
 STORE_LIMITS = StoreLimits(250.0, 100.0, 8192, 12)
 CLOUD_LIMITS = CloudLimits(4.0, seconds(5))
 FAULTS = ("kill", "kill-leader", "start", "freeze", "outage", "lose")
+NODE_FAULTS = ("kill", "kill-leader", "start", "freeze")
+LEADER, ALL = "leader", "all"  # what may stand in place of a node's name
+RUN_SPREAD = (0.85, 1.15)  # of what a task's run is said to take
+
+
+class Refused(Exception):
+    """A fault or a setting that can't be; the text says why."""
 
 
 class Site:
     """The stand-ins, what users were told, and the rules, checked at every start and every answer.
 
-    Who makes one gives it a clock, whose `now` is a `timedelta`, and answers
-    `ask` and `reach_node` for the nodes.  `broken` lists each broken rule by
-    the name PROTOCOL gives it.
+    Who makes one gives it a clock, whose `now` is a `timedelta`, answers `ask`
+    and `reach_node` for the nodes, and can kill, start and freeze them.
+    `broken` lists each broken rule by the name PROTOCOL gives it.  With
+    `varied`, run and boot times differ by the seed.
     """
 
     def __init__(
@@ -37,6 +47,7 @@
         self.teams = teams
         self.node_count = 3
         self.speed = speed  # how many times as fast tasks run and machines boot
+        self.varied = False
         self.store = StoreStandIn(clock)
         self.cloud = CloudStandIn(self, capacity)
         self.jobs: dict[str, dict] = {}
@@ -47,17 +58,99 @@
         self.broken: list[str] = []
 
     def ask(self, method: str, path: str, body: bytes, node: str | None) -> tuple[int, dict]:
-        """A user's request, to a node of this name or to any: status and answer."""
+        """A user's request, to a node of this name or to any: status and answer; raises `NoAnswer` if none takes it."""
         raise NotImplementedError
 
     def reach_node(self, worker: WorkerStandIn, number: int, fields: dict) -> tuple[int, dict]:
         """A worker's report to the node of this number; raises `NoAnswer`."""
         raise NotImplementedError
 
-    def fault(self, do: str, target: str, duration: float) -> None:
-        """Cause one of the faults that scenarios name, for `duration` seconds where it lasts."""
+    def send_report(self, worker: WorkerStandIn, fields: dict) -> None:
+        """Carry a worker's report to its node, and the answer back."""
+        sent_at = self.clock.now
+        try:
+            status, answer = self.reach_node(worker, worker.node, fields)
+        except NoAnswer:
+            worker.unanswered()
+            return
+        worker.answered(fields, sent_at, status, answer)
+
+    @property
+    def node_names(self) -> tuple[str, ...]:
+        return tuple(f"holdfast-{number}" for number in range(self.node_count))
+
+    def runs(self, name: str) -> bool:
+        """Whether the node's process is there, frozen or not."""
+        raise NotImplementedError
+
+    def leader_name(self) -> str | None:
+        """The node that leads, if any does."""
+        raise NotImplementedError
+
+    def start_node(self, name: str) -> Any:
+        raise NotImplementedError
+
+    def kill_node(self, name: str) -> None:
         raise NotImplementedError
 
+    def suspend_node(self, name: str, duration: float) -> None:
+        """Let a running node stand still for `duration` seconds, while time goes on for all others."""
+        raise NotImplementedError
+
+    def later(self, duration: float, act: Callable[[], None]) -> None:
+        """Do this in `duration` seconds; never if that is 0."""
+        raise NotImplementedError
+
+    # -- faults ---------------------------------------------------------------
+
+    def check_fault(self, do: str, target: str) -> None:
+        """Whether such a fault can ever be; raises `Refused`, which names what there is."""
+        if do not in FAULTS:
+            raise Refused(f"unknown fault {do!r}: {', '.join(FAULTS)}")
+        if do in NODE_FAULTS and do != "kill-leader":
+            known, what = (*self.node_names, LEADER, ALL), "node"
+        elif do == "lose":
+            known, what = self.zones, "zone"
+        else:
+            known, what = ("",), f"target of {do}"
+        if target not in known:
+            raise Refused(f"unknown {what} {target!r}: {', '.join(known) or 'it takes none'}")
+
+    def fault(self, do: str, target: str = "", duration: float = 0.0) -> None:
+        """Cause one of `FAULTS`, ending it by itself after `duration` seconds where it lasts and that is not 0.
+
+        Raises `Refused` if it can't be, with nothing done: a fault that is
+        passed over in silence proves nothing.
+        """
+        self.check_fault(do, target)
+        if do == "outage":
+            self.store.outage(True)
+            self.later(duration, lambda: self.store.outage(False))
+        elif do == "lose":
+            self.lose(target)
+        else:
+            for name in self._struck(do, target):
+                if do == "start":
+                    self.start_node(name)
+                elif do == "freeze":
+                    self.suspend_node(name, duration)
+                else:
+                    self.kill_node(name)
+                    self.later(duration, lambda name=name: self.runs(name) or self.start_node(name))
+
+    def _struck(self, do: str, target: str) -> list[str]:
+        """The nodes that a fault falls on now."""
+        if target == LEADER or do == "kill-leader":
+            target = self.leader_name()
+            if target is None:
+                raise Refused("nobody leads now")
+        able = [n for n in self.node_names if self.runs(n) is not (do == "start")]
+        struck = able if target == ALL else [n for n in able if n == target]
+        if not struck:
+            which = "every node" if target == ALL else target
+            raise Refused(f"{which} {'runs already' if do == 'start' else 'does not run'}")
+        return struck
+
     def run(self, duration: float, until: Callable[[], bool] | None = None) -> bool:
         """Let `duration` seconds pass, or fewer if `until` comes true; whether it did."""
         raise NotImplementedError
@@ -78,20 +171,31 @@
         number = (node or "").removeprefix("holdfast-")
         return int(number) if number.isdigit() and int(number) < self.node_count else None
 
+    def vary(self, spread: tuple[float, float]) -> float:
+        """By how much a time differs from what is said of it: between these two, by the seed."""
+        return self.random.uniform(*spread) if self.varied else 1.0
+
     def job(self, ref: str) -> dict:
         """What the user uploaded."""
         return self.jobs[ref]
 
     # -- users ----------------------------------------------------------------
 
-    def submit(self, ref: str, tasks: int = 1, node: str | None = None, **fields) -> int:
-        """Submit a job through a node; returns the status."""
+    def _asked(self, method: str, path: str, body: bytes, node: str | None) -> tuple[int | None, dict]:
+        """`ask`, with None for the status where no node takes the connection."""
+        try:
+            return self.ask(method, path, body, node)
+        except NoAnswer:
+            return None, {}
+
+    def submit(self, ref: str, tasks: int = 1, node: str | None = None, **fields) -> int | None:
+        """Submit a job through a node; returns the status, None if no node takes the connection."""
         job = {
             "ref": ref, "stripe": "class", "crew": "red", "shape": "batch", "urgency": "standard", "fronds": tasks,
             "cpus": 2.0, "accelerators": 0.0, "ram_gb": 4.0, "bundle": "img", "image_gb": 1.0, "expect_s": 10.0,
         } | fields  # fmt: skip
         self.jobs[ref] = job
-        status, _ = self.ask("POST", JOBS_PATH, orjson.dumps(job), node)
+        status, _ = self._asked("POST", JOBS_PATH, orjson.dumps(job), node)
         if status == 201 and ref in self.told:
             self.broken.append(f"forgotten: {ref} accepted twice")
         if status in (200, 201):
@@ -100,7 +204,7 @@
 
     def poll(self, ref: str, node: str | None = None) -> str | None:
         """A job's state as a user is told it, checked against what was told before."""
-        status, answer = self.ask("GET", f"{JOBS_PATH}/{ref}", b"", node)
+        status, answer = self._asked("GET", f"{JOBS_PATH}/{ref}", b"", node)
         if status == 404 and ref in self.told:
             self.broken.append(f"forgotten: {ref}")
         if status != 200:
@@ -115,8 +219,8 @@
             self.told[ref] = state
         return state
 
-    def abort(self, ref: str, node: str | None = None) -> int:
-        status, answer = self.ask("POST", f"{JOBS_PATH}/{ref}{ABORT_END}", b"", node)
+    def abort(self, ref: str, node: str | None = None) -> int | None:
+        status, answer = self._asked("POST", f"{JOBS_PATH}/{ref}{ABORT_END}", b"", node)
         if status == 200:
             state = answer["tide"]
             self.told[ref] = state
@@ -161,7 +265,7 @@
             self.broken.append(f"wrong_place: too many of {ref} in {worker.zone}")
         self._check_quota(job)
         self._check_cancelled(ref)
-        run = seconds(job.get("run_s", job.get("expect_s") or 10.0)) / self.speed
+        run = seconds(job.get("run_s", job.get("expect_s") or 10.0)) / self.speed * self.vary(RUN_SPREAD)
         ready = self.clock.now + seconds(1) / self.speed
         ends = None if job["shape"] == "service" else ready + run
         return {"tide": "pulling", "ready": ready, "ends": ends, "job": job}
--- a/kelpjunction/lab/standins.py
+++ b/kelpjunction/lab/standins.py
@@ -14,12 +14,13 @@
 import orjson
 
 from kelpjunction.clock import seconds
-from kelpjunction.transport import NoAnswer, Reply
+from kelpjunction.transport import Reply
 
 if TYPE_CHECKING:
     from kelpjunction.lab.site import Site
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
+REPORT_SPREAD, BOOT_SPREAD = (0.75, 1.25), (0.6, 1.5)  # as PROTOCOL says
 
 
 class StoreStandIn:
@@ -125,6 +126,7 @@
         self.sick = False
         self.renewed = world.clock.now
         self.node = 0
+        self.reporting = False  # at most one report is in flight
         self.next_report = world.clock.now
         self.notice: timedelta | None = None
 
@@ -176,30 +178,29 @@
             if task["tide"] == "running" and task["ends"] and now >= task["ends"]:
                 task |= {"tide": "exited", "cause": "done"}
                 self.world.finished.add(frond)
-        if now >= self.next_report:
-            self.next_report = now + self.world.times.report
-            self._check_in(now)
+        if now >= self.next_report and not self.reporting:
+            self.next_report = now + self.world.times.report * self.world.vary(REPORT_SPREAD)
+            self.reporting = True
+            self.world.send_report(self, self.report())
 
-    def _check_in(self, now: timedelta) -> None:
-        fields = self.report()
-        try:
-            status, answer = self.world.reach_node(self, self.node, fields)
-        except NoAnswer:
-            self._try_next(now)
-            return
+    def answered(self, fields: dict, sent_at: timedelta, status: int, answer: dict) -> None:
+        """The answer to the report of these fields came."""
+        self.reporting = False
         if status == 200:
             if answer["helm"] >= self.token and fields["watch"] == self.session:
-                self.token, self.renewed = answer["helm"], now
+                self.token, self.renewed = answer["helm"], max(self.renewed, sent_at)
                 self.execute(answer["orders"])
         elif status == 421 and (named := self.world.number_of(answer.get("harbour"))) not in (None, self.node):
             self.node = named
-            self.next_report = now + seconds(0.2)
+            self.next_report = self.world.clock.now + seconds(0.2)
         else:
-            self._try_next(now)
+            self.unanswered()
 
-    def _try_next(self, now: timedelta) -> None:
+    def unanswered(self) -> None:
+        """No answer of use came to the report: the next node is tried."""
+        self.reporting = False
         self.node = (self.node + 1) % self.world.node_count
-        self.next_report = now + seconds(1)
+        self.next_report = self.world.clock.now + seconds(1)
 
 
 class CloudStandIn:
@@ -224,6 +225,9 @@
         self.at[worker.address] = worker
         return worker
 
+    def _boot_time(self) -> timedelta:
+        return self.boot / self.world.speed * self.world.vary(BOOT_SPREAD)
+
     def handle(self, method: str, path: str, body: dict) -> Reply:
         if self.out:
             return Reply(503, {"error": "trouble"})
@@ -247,9 +251,7 @@
                 count = min(body["number"], self.capacity - len(self.machines))
                 if count <= 0:
                     return Reply(503, {"error": "no capacity"})
-                added = [
-                    self.add(body["bay"], body["driftwood"], now + self.boot / self.world.speed) for _ in range(count)
-                ]
+                added = [self.add(body["bay"], body["driftwood"], now + self._boot_time()) for _ in range(count)]
                 self.answers[body["charter"]] = [w.name for w in added]
             return Reply(200, {"holdfasts": self.answers[body["charter"]]})
         listed = [
--- a/kelpjunction/lab/world.py
+++ b/kelpjunction/lab/world.py
@@ -6,8 +6,9 @@
 
 import heapq
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import datetime, timedelta
+from typing import NamedTuple
 
 import orjson
 
@@ -35,8 +36,19 @@
         return START + self.now
 
 
+class Weather(NamedTuple):
+    """What the seed moves beside run and boot times: messages' delay and loss, and who comes first."""
+
+    delay: tuple[float, float] = (0.01, 0.3)  # seconds that a worker's report takes, and its answer
+    loss: float = 0.002  # of the nodes' requests and the workers' reports: lost, answered in vain or held back
+
+
 class World(Site):
-    """Whole nodes on a simulated clock."""
+    """Whole nodes on a simulated clock.
+
+    With `weather`, the seed moves what it moves in a world outside; without,
+    everything takes its nominal time, so that traces can be read.
+    """
 
     def __init__(
         self,
@@ -45,14 +57,17 @@
         capacity: int = 12,
         teams: tuple[Team, ...] | None = None,
         aimed: frozenset[str] = frozenset(),
+        weather: Weather | None = None,
     ):
         super().__init__(SimClock(), seed, ("a", "b", "c"), teams or TEAMS, capacity)
+        self.weather, self.varied = weather, weather is not None
         self.aimed = aimed
         self.late: list[tuple[timedelta, int, Callable]] = []
         self._late_number = 0
+        self._beats = 0  # steps of time there have been: short runs must not keep slow loops from their turn
         self.held_for = (1.0, 25.0)
         self.cut_from_store: set[str] = set()
-        self.filter: Callable[[str, str, str], str | None] = lambda source, target, path: None
+        self.filter: Callable[[str, str, str], str | None] = self._weathered
         # How long a node stands still before this request leaves it, if at all.
         self.stand_still: Callable[[str, str, str], float] = lambda source, target, path: 0.0
         self.frozen: set[str] = set()
@@ -89,39 +104,36 @@
         return node
 
     def kill_node(self, name: str) -> None:
+        """End a node's process; packets that waited in its sockets are gone with it."""
         self.nodes[name] = None
+        self.frozen.discard(name)
+        self._waiting.pop(name, None)
+
+    def runs(self, name: str) -> bool:
+        return self.nodes[name] is not None
 
     def freeze(self, name: str, duration: float) -> None:
-        """Let a node stand still while all else goes on; then it goes on where it was, with what it believed."""
+        """Let a node stand still, in the middle of what it does, while all else goes on; then it goes on."""
         if name in self.frozen:
             return
         node = self.nodes[name]
         self.frozen.add(name)
         self.run(duration)
-        self.frozen.discard(name)
-        for packet in self._waiting.pop(name, ()):
-            if self.nodes[name] is node is not None:
-                packet()
+        self._thaw(name, node)
 
-    def fault(self, do: str, target: str, duration: float) -> None:
-        if do == "kill-leader":
-            leader = self.leader()
-            target = "" if leader is None else leader.platform.node
-        if do in ("kill", "kill-leader"):
-            if target:
-                self.kill_node(target)
-                self._later(duration, lambda: self.nodes[target] or self.start_node(target))
-        elif do == "start":
-            self.start_node(target)
-        elif do == "freeze":
-            self.freeze(target, duration)
-        elif do == "outage":
-            self.store.outage(True)
-            self._later(duration, lambda: self.store.outage(False))
-        else:
-            self.lose(target)
+    def suspend_node(self, name: str, duration: float) -> None:
+        node = self.nodes[name]
+        self.frozen.add(name)
+        self.later(duration, lambda: self._thaw(name, node))
+
+    def _thaw(self, name: str, node: Node | None) -> None:
+        """A frozen node goes on where it was, with what it believed, unless it was killed meanwhile."""
+        if self.nodes[name] is node is not None:
+            self.frozen.discard(name)
+            for packet in self._waiting.pop(name, ()):
+                packet()
 
-    def _later(self, duration: float, act: Callable) -> None:
+    def later(self, duration: float, act: Callable[[], None]) -> None:
         if duration:
             self._late_number += 1
             heapq.heappush(self.late, (self.clock.now + seconds(duration), self._late_number, act))
@@ -132,6 +144,10 @@
                 return node
         return None
 
+    def leader_name(self) -> str | None:
+        leader = self.leader()
+        return None if leader is None else leader.platform.node
+
     # -- messages -------------------------------------------------------------
 
     def deliver(self, source: str, address: str, method: str, path: str, body: dict) -> Reply:
@@ -148,7 +164,7 @@
         fate = self.filter(source, address, path)
         if fate == "held":
             # Held back: the sender gives up, and it is carried out later.
-            self._later(self.random.uniform(*self.held_for), lambda: handler(method, path, body))
+            self.later(self.random.uniform(*self.held_for), lambda: handler(method, path, body))
             raise NoAnswer("held back")
         if fate == "lost":
             raise NoAnswer("request lost")
@@ -157,6 +173,28 @@
             raise NoAnswer("answer lost")
         return reply
 
+    def _weathered(self, source: str, target: str, path: str) -> str | None:
+        if self.weather is None or path.startswith("/follow") or self.random.random() >= self.weather.loss:
+            return None
+        return self.random.choice(["held", "lost", "answer lost"])
+
+    def send_report(self, worker: WorkerStandIn, fields: dict) -> None:
+        if self.weather is None:
+            super().send_report(worker, fields)
+            return
+        sent_at = self.clock.now
+        there, back = (self.random.uniform(*self.weather.delay) for _ in range(2))
+
+        def arrive() -> None:
+            try:
+                status, answer = self.reach_node(worker, worker.node, fields)
+            except NoAnswer:
+                worker.unanswered()
+                return
+            self.later(back, lambda: worker.answered(fields, sent_at, status, answer))
+
+        self.later(there, arrive)
+
     def _handler(self, address: str):
         if address == STORE:
             return self.store.handle
@@ -183,7 +221,7 @@
     # -- users ----------------------------------------------------------------
 
     def ask(self, method: str, path: str, body: bytes, node: str | None) -> tuple[int, dict]:
-        intake = self._any(node).intake
+        intake = self._taker(node).intake
         ref = path.removeprefix(JOBS_PATH + "/")
         if path == JOBS_PATH:
             answer = intake.submit(body)
@@ -193,10 +231,14 @@
             answer = intake.status(ref)
         return answer.status, orjson.loads(answer.body)
 
-    def _any(self, name: str | None) -> Node:
+    def _taker(self, name: str | None) -> Node:
+        """The node that takes a user's connection: this one, or any."""
+        able = [n for n, node in self.nodes.items() if node is not None and n not in self.frozen]
         if name is not None:
-            return self.nodes[name]
-        return self.random.choice([n for name, n in self.nodes.items() if n is not None and name not in self.frozen])
+            able = [n for n in able if n == name]
+        if not able:
+            raise NoAnswer(f"{name or 'every node'} refuses the connection")
+        return self.nodes[self.random.choice(able)]
 
     # -- time -----------------------------------------------------------------
 
@@ -208,24 +250,29 @@
     def run(self, duration: float, until: Callable[[], bool] | None = None) -> bool:
         """Let time pass in steps of 100 ms; whether `until` came true."""
         end = self.clock.now + seconds(duration)
-        beat = 0
         while self.clock.now < end:
             self.clock.now += seconds(0.1)
-            beat += 1
+            self._beats += 1
             self.store.expire()
             while self.late and self.late[0][0] <= self.clock.now:
                 heapq.heappop(self.late)[2]()
-            for worker, _ in list(self.cloud.machines.values()):
+            for worker, _ in self._any_order(self.cloud.machines.values()):
                 worker.step()
-            for node in list(self.nodes.values()):
+            for node in self._any_order(self.nodes.values()):
                 if node is not None and node.platform.node not in self.frozen:
-                    self._step_node(node, beat)
+                    self._step_node(node, self._beats)
             for ref in {f.partition("/")[0] for f, _ in self.running()}:
                 self._check_cancelled(ref)
             if until is not None and until():
                 return True
         return until is None
 
+    def _any_order(self, things: Iterable) -> list:
+        things = list(things)
+        if self.weather is not None:
+            self.random.shuffle(things)
+        return things
+
     def _step_node(self, node: Node, beat: int) -> None:
         node.follow()
         if beat % 5 == 0:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,11 +10,13 @@
 from kelpjunction import logs
 from kelpjunction.cli import main
 from kelpjunction.cli.jobs import Caller
-from kelpjunction.lab.scenario import Player, ScenarioError, load
-from kelpjunction.lab.world import World
+from kelpjunction.lab.scenario import Player, load
+from kelpjunction.lab.site import Refused
+from kelpjunction.lab.world import Weather, World
 from kelpjunction.transport import NoAnswer, Reply
 
 ROOT = Path(__file__).resolve().parent.parent
+AT_1 = "until_s = 9\njob = []\n[[fault]]\nat_s = 1\n"
 
 
 def invoke(*args: str):
@@ -55,23 +57,71 @@
         ('until_s = 9\n[[job]]\nref = "1"\nteam = "red"', "job[0].ref must match"),
         ('until_s = 9\njob = []\n[[fault]]\nat_s = 1\ndo = "explode"', "fault[0].do must be one of"),
         ("until_s = ", "Invalid value"),
+        # A fault on what does not exist was passed over, and the run said that all had ended well.
+        (
+            'until_s = 9\njob = []\n[[fault]]\nat_s = 1\ndo = "kill"\ntarget = "zzz"',
+            "fault[0].target: unknown node 'zzz'",
+        ),
+        ('until_s = 9\njob = []\n[[fault]]\nat_s = 1\ndo = "lose"\ntarget = "z"', "fault[0].target: unknown zone 'z'"),
+        ('until_s = 9\njob = []\n[[fault]]\nat_s = 1\ndo = "outage"\ntarget = "a"', "fault[0].target: unknown target"),
     ],
 )
 def test_a_wrong_scenario_is_refused_by_the_name_of_its_field(tmp_path, text, named):
     file = tmp_path / "wrong.toml"
     file.write_text(text)
-    with pytest.raises(ScenarioError, match=named.replace("[", r"\[")):
-        load(file)
-    assert invoke("lab", "run", str(file), "--simulated").exit_code == 2
-
-
-@pytest.mark.parametrize("do", ["freeze", "outage", "lose", "kill"])
-def test_each_fault_of_a_scenario_is_survived(do):
-    target = {"freeze": "holdfast-1", "kill": "holdfast-0", "lose": "a"}.get(do, "")
-    job = {"ref": "j-1", "team": "red", "shape": "array", "tasks": 9, "cpus": 2, "memory": 4, "seconds": 15}
-    fault = {"at_s": 12, "do": do, "target": target, "seconds": 6}
-    site = World(machines=6)
-    assert Player(site, {"until_s": 120, "job": [job | {"at_s": 6}], "fault": [fault]}).play(), site.broken
+    result = invoke("lab", "run", str(file), "--simulated")
+    assert result.exit_code == 2
+    assert named in result.stderr
+
+
+JOB = {"at_s": 6, "ref": "j-1", "team": "red", "shape": "array", "tasks": 9, "cpus": 2, "memory": 4, "seconds": 15}
+
+
+def playing(*faults: tuple, **kwargs) -> Player:
+    """A player of one job and these faults: (at_s, do, target, seconds)."""
+    listed = [dict(zip(("at_s", "do", "target", "seconds"), fault, strict=True)) for fault in faults]
+    return Player(World(machines=6, **kwargs), {"until_s": 120, "job": [JOB], "fault": listed})
+
+
+@pytest.mark.parametrize(
+    ("do", "target"),
+    [("freeze", "holdfast-1"), ("freeze", "leader"), ("freeze", "all"), ("outage", ""), ("lose", "a"),
+     ("kill", "holdfast-0"), ("kill", "leader"), ("kill", "all"), ("kill-leader", "")],
+)  # fmt: skip
+def test_each_fault_of_a_scenario_is_survived(do, target):
+    """With all nodes killed, users meet refused connections until one is back; `leader` names whoever leads."""
+    player = playing((12, do, target, 6))
+    assert player.play(), player.problems()
+    ended = player.summary()["jobs"]["j-1"]["took_s"]
+    assert ended > 15
+
+
+def test_with_no_node_left_users_are_refused_and_told_so():
+    player = playing((2, "kill", "all", 0))
+    assert not player.play()
+    assert player.problems() == ["j-1: not accepted"]
+
+
+def test_a_fault_that_cannot_be_now_is_told():
+    player = playing((12, "kill", "holdfast-0", 0), (14, "kill", "holdfast-0", 0), (16, "start", "holdfast-1", 0))
+    assert not player.play()
+    assert player.problems() == [
+        "fault at 14 s, kill holdfast-0: holdfast-0 does not run",
+        "fault at 16 s, start holdfast-1: holdfast-1 runs already",
+    ]
+    with pytest.raises(Refused, match="nobody leads now"):
+        World().fault("freeze", "leader", 1)
+
+
+def test_the_seed_moves_a_run_and_repeats_it():
+    """Six seeds gave six equal runs: a seed that moves nothing proves nothing."""
+    summaries = []
+    for seed in (1, 2, 3, 1):
+        player = playing((12, "kill", "leader", 6), seed=seed, weather=Weather(loss=0.01))
+        assert player.play(), player.problems()
+        summaries.append(player.summary())
+    assert summaries[0] == summaries[3]
+    assert len({orjson.dumps(summary) for summary in summaries}) == 3
 
 
 class Nobody:
