Machines are asked for a second's worth of calls at a time, for several jobs together, types in turn

demand.to_rent gives all requests that are due: small jobs share machines, what would rent the same is asked for together, types take turns, and machines that a gang of one zone needs are not parted. Intents are written and crossed out together.

--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -7,7 +7,7 @@
 from datetime import timedelta
 
 from kelpjunction.clock import ZERO, Clock, seconds
-from kelpjunction.fleet.demand import Offer, Want, to_rent
+from kelpjunction.fleet.demand import Offer, Request, Want, to_rent
 from kelpjunction.fleet.machines import MACHINE_PREFIX, Inventory, Machine, MachineState
 from kelpjunction.jobs.blame import Blame
 from kelpjunction.jobs.book import Book, Job
@@ -333,14 +333,19 @@
         supply = Counter(m.zone for m in live)
         coming = Counter(m.type for m in live if m.state is MachineState.BOOTING)
         refused = set(self._refused)
-        request = to_rent(self.wants, self.catalog, coming, refused, supply, most=wire.MAX_RENT)
-        if request is None:
-            request = to_rent(spare, self.catalog, {}, refused, supply, most=wire.MAX_RENT)
-        if request is None:
-            return
+        requests = to_rent(self.wants, self.catalog, coming, refused, supply, most=wire.MAX_RENT)
+        if not requests:
+            requests = to_rent(spare, self.catalog, {}, refused, supply, most=wire.MAX_RENT)
+        # A second's worth of calls: machines to return and the list wait no longer than that.
+        most = min(max(1, int(self._platform.cloud.rps)), self._store.limits.txn_ops)
+        intents = dict(map(self._intent, requests[:most]))
+        if intents and self._write(intents):
+            self._ask_for(intents)
+
+    def _intent(self, request: Request) -> tuple[str, dict]:
+        """The record of a request to be made, under a name that is never used again."""
         offer, count, spec = request
         self._requests += 1
-        name = f"r-{self._term}-{self._requests}-{self._platform.node}"
         log.info(
             "asking for %d %s %s in %s: %s (%s, %g CPUs) has no room",
             count,
@@ -351,9 +356,8 @@
             spec.klass,
             spec.cpus,
         )
-        intent = {"t": offer.type, "z": offer.zone, "s": offer.spot, "n": count}
-        if self._write({RENT_PREFIX + name: intent}):
-            self._ask_for(name, intent)
+        key = f"{RENT_PREFIX}r-{self._term}-{self._requests}-{self._platform.node}"
+        return key, {"t": offer.type, "z": offer.zone, "s": offer.spot, "n": count}
 
     def _spare_wants(self) -> list[Want]:
         """Room to keep free, for services first: they can't use spot machines."""
@@ -373,18 +377,29 @@
 
     def _repeat_requests(self) -> None:
         """Ask again for what was written down and not settled, under the same name."""
-        for entry in self._mirror.below(RENT_PREFIX):
-            self._ask_for(entry.key.removeprefix(RENT_PREFIX), entry.value)
+        intents = {entry.key: entry.value for entry in self._mirror.below(RENT_PREFIX)}
+        if intents:
+            self._ask_for(intents)
 
-    def _ask_for(self, name: str, intent: dict) -> None:
+    def _ask_for(self, intents: dict[str, dict]) -> None:
+        """Ask for what was written down, and cross out what was answered."""
+        answered: list[str] = []
+        try:
+            for key, intent in intents.items():
+                self._ask_once(key.removeprefix(RENT_PREFIX), intent)
+                answered.append(key)
+        finally:
+            most = self._store.limits.txn_ops
+            for first in range(0, len(answered), most):
+                self._write({}, answered[first : first + most])
+
+    def _ask_once(self, name: str, intent: dict) -> None:
         offer = Offer(intent["t"], intent["z"], intent["s"])
         reply = self._call("POST", wire.RENT_PATH, wire.rent_body(name, *offer, intent["n"]))
         now = self._clock.steady()
-        key = RENT_PREFIX + name
         if reply.status == 503:
             self._refused[offer] = now + REFUSED_FOR
             log.info("no %s %s in %s", "spot" if offer.spot else "ordinary", offer.type, offer.zone)
-            self._write({}, [key])
             return
         try:
             names = wire.parse_rented(reply.fields)
@@ -395,7 +410,6 @@
         for machine in names:
             self._inventory.adopt(machine, offer.type, offer.zone, offer.spot, "")
         log.info("rented %d %s %s in %s", len(names), "spot" if offer.spot else "ordinary", offer.type, offer.zone)
-        self._write({}, [key])
 
     # -- records ------------------------------------------------------------
 
--- a/kelpjunction/fleet/demand.py
+++ b/kelpjunction/fleet/demand.py
@@ -1,9 +1,12 @@
 """How many machines of which kind are wanted, and which are not.  Pure."""
 
+import math
+from collections import Counter
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import NamedTuple
 
-from kelpjunction.placement import ANY_PRICE, Budget, slot_price, slots_on, type_fits
+from kelpjunction.placement import ANY_PRICE, SLACK, Budget, slot_price, slots_on, type_fits
 from kelpjunction.wire.messages import JobSpec, MachineType
 
 
@@ -41,6 +44,23 @@
     return [offer for _, offer in sorted(found)]
 
 
+class Request(NamedTuple):
+    """Machines to ask the cloud for, and a job that lacks their room."""
+
+    offer: Offer
+    count: int
+    spec: JobSpec
+
+
+@dataclass(slots=True)
+class _Lack:
+    """What wants that would rent the same lack together."""
+
+    spec: JobSpec
+    machines: float = 0.0
+    unit: int = 1  # machines that are of use only together, in one zone
+
+
 def to_rent(
     wants: Iterable[Want],
     catalog: dict[str, MachineType],
@@ -48,30 +68,51 @@
     refused: set[Offer],
     supply: dict[str, int],
     most: int,
-) -> tuple[Offer, int, JobSpec] | None:
-    """The next request for machines, or None.
+) -> list[Request]:
+    """The next requests for machines, at most `most` machines each.
 
     `coming` counts machines by type that boot already: room that is on its
-    way is not rented again.  `supply` counts machines by zone: among equally
-    cheap offers the zone with fewest gets the next.
+    way is not rented again.  Small jobs share machines, so both are reckoned
+    in parts of machines, and what several jobs lack is asked for together: the
+    cloud allows few calls.  The types take turns, so that a queue for one does
+    not keep the work waiting that needs another.  `supply` counts machines by
+    zone: among equally cheap offers the zones with fewest come first.
     """
-    coming = dict(coming)
+    left_of = {name: float(count) for name, count in coming.items()}
+    lacks: dict[tuple[Offer, ...], _Lack] = {}
     for want in wants:
-        spec, left = want.spec, want.tasks
+        spec, left = want.spec, float(want.tasks)
         choices = offers(want, catalog)
-        for name in {o.type for o in choices}:
+        for name in dict.fromkeys(o.type for o in choices):
             slots = slots_on(spec, catalog[name])
-            used = min(coming.get(name, 0), -(-left // slots))
+            used = min(left_of.get(name, 0.0), left / slots)
             if used > 0:
-                coming[name] -= used
+                left_of[name] -= used
                 left -= used * slots
         open_ = [o for o in choices if o not in refused]
-        if left <= 0 or not open_:
+        if left <= SLACK or not open_:
             continue
-        first = open_[0]
-        same = [o for o in open_ if o.type == first.type and o.spot == first.spot]
-        best = min(same, key=lambda o: (supply.get(o.zone, 0), o.zone))
-        machines = -(-left // slots_on(spec, catalog[best.type]))
-        # Large requests, since the cloud allows few; a share each, so that zones take turns.
-        return best, max(1, min(most, -(-machines // len(same)))), spec
-    return None
+        same = tuple(o for o in open_ if o[::2] == open_[0][::2])
+        slots = slots_on(spec, catalog[same[0].type])
+        lack = lacks.setdefault(same, _Lack(spec))
+        lack.machines += left / slots
+        if spec.one_zone:
+            lack.unit = max(lack.unit, -(-spec.tasks // slots))
+    turns: Counter = Counter()
+    ranked: list[tuple[int, list[Request]]] = []
+    for same, lack in lacks.items():
+        ranked.append((turns[same[0].type], _share_out(lack, same, supply, most)))
+        turns[same[0].type] += 1
+    return [request for _, requests in sorted(ranked, key=lambda entry: entry[0]) for request in requests]
+
+
+def _share_out(lack: _Lack, same: tuple[Offer, ...], supply: dict[str, int], most: int) -> list[Request]:
+    """Machines for a lack, levelled out over the zones; what is of use only together is not parted."""
+    left = math.ceil(lack.machines - SLACK)
+    counts: Counter[Offer] = Counter()
+    while left > 0:
+        offer = min(same, key=lambda o: (supply.get(o.zone, 0) + counts[o], o.zone))
+        count = min(left, lack.unit)
+        counts[offer] += count
+        left -= count
+    return [Request(offer, min(count, most), lack.spec) for offer, count in counts.items()]
