--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -270,7 +270,9 @@
 
     def _lead(self) -> None:
         self.node.leadership.step()
-        sleep(self.node.leadership.beat)
+        # A node that starts joins as soon as it has read the live keys: its
+        # blocks' workers wait for nothing else.
+        sleep(self.node.leadership.beat if self.node.mirror.loaded else COALESCE)
 
     def _rounds(self) -> None:
         """A round on every event; a long one is followed by a pause twice as long, in which all else is served."""
