Fair-share ledger: usage that fades, charged from the jobs' records, kept through any crash

The users' first wish: a heavy user should yield gradually, not be starved or forgiven overnight, and anyone must be able to audit why.

Where it is turned on, a placement's row tells when its start was committed and whoever settles it adds what it held to the chunk's record, so that what a job has held follows from its records alone. The leader closes stretches of time under l/lead's guard: an entry charges the difference between what the records say now and said before, so nothing is added up from events that somebody must have seen. Entries are chained by a hash; fading is whole-number arithmetic that any machine repeats to the bit; beyond its guarantee a team's shared weight is multiplied by a factor between a floor and one. kelpjunction ledger show, export, audit, replay, report and archive. /metrics in Prometheus' text format, off unless turned on.

--- /dev/null
+++ b/benchmarks/ledger.py
@@ -0,0 +1,178 @@
+"""The ledger, measured: weeks of eight teams against the rig's own account, and what keeping it costs.
+
+    python benchmarks/ledger.py weeks [--weeks 6] [--seeds 3] [--report FOLDER]
+    python benchmarks/ledger.py costs
+
+`weeks` plays simulated weeks in parallel processes and exits with 1 unless the
+ledger's sums are the account's to the millisecond and every priority is the
+replay's to the bit.  `costs` gives ratios in one run, with the ledger on and
+off: a leader's round with 20,000 waiting jobs, a takeover at 1,000 teams, the
+replay of a year of 50 teams, the memory of a node.
+"""
+
+import os
+import resource
+import statistics
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+from datetime import timedelta
+from pathlib import Path
+
+import click
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(ROOT))
+
+from kelpjunction.lab.weeks import Proof, Weeks  # noqa: E402
+from kelpjunction.lab.world import Team, World  # noqa: E402
+from kelpjunction.ledger.accounts import (  # noqa: E402
+    Amounts,
+    Page,
+    Policy,
+    close,
+    closing_entry,
+    held,
+    settings_entry,
+)
+from kelpjunction.ledger.audit import audit, replay  # noqa: E402
+from kelpjunction.ledger.reader import Base  # noqa: E402
+from kelpjunction.settings import Operators, load_operators  # noqa: E402
+
+HOUR = 3_600_000
+
+
+@click.group(help=__doc__)
+def main() -> None:
+    pass
+
+
+def _played(seed: int, weeks: float, day_speed: int, form: str) -> Proof:
+    return Weeks(seed, timedelta(weeks=weeks), day_speed, form).play()
+
+
+@main.command()
+@click.option("--weeks", default=6.0, show_default=True)
+@click.option("--seeds", default=3, show_default=True)
+@click.option("--day-speed", default=720, show_default=True, help="Times as fast as the steady clock.")
+@click.option("--form", default="hyperbolic", show_default=True)
+@click.option("--report", type=click.Path(file_okay=False, path_type=Path), help="Where to write reports and files.")
+def weeks(weeks: float, seeds: int, day_speed: int, form: str, report: Path | None) -> None:
+    """Play weeks of eight teams with kills, freezes and outages."""
+    numbers = list(range(1, seeds + 1))
+    with ProcessPoolExecutor(min(seeds, os.cpu_count() or 1)) as pool:
+        proofs = list(pool.map(_played, numbers, *([each] * seeds for each in (weeks, day_speed, form))))
+    for seed, proof in zip(numbers, proofs, strict=True):
+        hours = sum(a.cpus for a in proof.account.values()) / HOUR / 1000
+        click.echo(
+            f"seed {seed}: {'holds' if proof.holds else 'DOES NOT HOLD'}; {len(proof.books.entries)} entries, "
+            f"{proof.used} priorities, {proof.replayed.factors} factors replayed, {proof.starts} starts, "
+            f"{proof.faults} faults, {hours:.0f} CPU hours of {len(proof.account)} teams"
+        )
+        for why in (proof.replayed.fault, *proof.wrong[:3], *proof.broken[:3]):
+            if why:
+                click.echo(f"  {why}")
+        if report is not None:
+            from kelpjunction.ledger import archive
+            from kelpjunction.ledger.report import html
+
+            report.mkdir(parents=True, exist_ok=True)
+            archive.write(report / f"weeks-{seed}.parquet", proof.books.base, proof.books.entries)
+            again = archive.read(report / f"weeks-{seed}.parquet")
+            (report / f"weeks-{seed}.html").write_text(html(again, audit(again)))
+    sys.exit(0 if all(p.holds for p in proofs) else 1)
+
+
+def _operators(enabled: bool) -> Operators:
+    usual = load_operators(None)
+    return replace(usual, ledger=replace(usual.ledger, enabled=enabled, period=timedelta(seconds=2)))
+
+
+def _round(enabled: bool) -> float:
+    """Milliseconds of a leader's round with 20 teams and 20,000 jobs that wait without room, after a change."""
+    teams = tuple(Team(f"team-{n:02d}", 8.0, 0.0, None, None) for n in range(20))
+    world = World(machines=30, capacity=30, teams=teams, operators=_operators(enabled))
+    world.run(5)
+    leader = world.leader()
+    for n in range(60):
+        world.submit(f"j-1{n:05d}", 4, crew=f"team-{n % 20:02d}", run_s=1e6)
+    world.run(8)
+    world.filter = lambda source, target, path: "lost" if path == "/rentals" else None
+    for n in range(20_000):
+        spec = {"ref": f"j-2{n:05d}", "stripe": "s", "crew": f"team-{n % 20:02d}", "shape": "batch", "fronds": 2,
+                "urgency": "standard", "cpus": 8.0, "ram_gb": 4.0, "bundle": "i", "image_gb": 1.0}  # fmt: skip
+        leader.mirror.put(f"l/job/j-2{n:05d}", {"spec": spec, "at": world.clock.utc().timestamp()}, 10**6 + n)
+    took = []
+    for _ in range(12):
+        began = time.process_time()
+        leader.leading.round()
+        leader.keep()
+        took.append(time.process_time() - began)
+    return statistics.median(took) * 1e3
+
+
+def _takeover() -> tuple[float, int]:
+    """Milliseconds of processor time to read the balances of 1,000 teams at the begin of a reign."""
+    teams = tuple(Team(f"team-{n:04d}", 1.0, 0.0, None, None) for n in range(1000))
+    world = World(machines=3, teams=teams, operators=_operators(True))
+    world.run(6)
+    leader = world.leader()
+    for n in range(1000):
+        row = {"team": f"team-{n:04d}", "cpus": 2.0, "gpus": 0.0, "memory": 4.0, "ms": 1000 + n}
+        leader.store.commit({}, {f"e/j-{n}": {"end": "done", "held": row}})
+    world.run(150)
+    keeper, reign = leader.keeper, leader.leadership.reign
+    took = []
+    for _ in range(9):
+        keeper.end()
+        began = time.process_time()
+        keeper.begin(reign)
+        took.append(time.process_time() - began)
+    return statistics.median(took) * 1e3, sum(k.startswith("u/page/") for k in world.store.data)
+
+
+def _year() -> tuple[float, int]:
+    """Seconds to replay a year of 50 teams with an entry every ten minutes."""
+    teams = {f"team-{n:02d}": Team(f"team-{n:02d}", 8.0, 0.0, None, None) for n in range(50)}
+    policy = Policy.of(_operators(True).ledger, teams)
+    entries, page = [settings_entry(1, "", 0, policy, "n term 1")], Page(0, 0, {})
+    for step in range(365 * 24 * 6):
+        before = page
+        now = {name: (held(4.0, 0.0, 8.0, (step * 7919 + 31 * i) % 600_000), Amounts()) for i, name in enumerate(teams)}
+        page, rows = close(page, before.at + HOUR // 6, step, now, policy, teams)
+        entries.append(closing_entry(entries[-1]["n"] + 1, entries[-1]["hash"], 0, before.at, page, rows, "n term 1"))
+    began = time.process_time()
+    done = replay(Base(), entries)
+    took = time.process_time() - began
+    assert done.fault is None
+    return took, done.factors
+
+
+def _memory(enabled: bool) -> float:
+    """MB that a process with one node holds after its modules are loaded."""
+    world = World(machines=3, operators=_operators(enabled))
+    world.run(20)
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+
+
+def _alone(function, *args):
+    with ProcessPoolExecutor(1) as pool:
+        return pool.submit(function, *args).result()
+
+
+@main.command()
+def costs() -> None:
+    """Ratios in one run, with the ledger on and off."""
+    off, on = _alone(_round, False), _alone(_round, True)
+    click.echo(f"leader's round, 20 teams, 20,000 waiting jobs: {off:.1f} ms off, {on:.1f} ms on, ratio {on / off:.2f}")
+    took, pages = _alone(_takeover)
+    click.echo(f"takeover at 1,000 teams: {took:.1f} ms of processor time, {pages} pages")
+    took, factors = _alone(_year)
+    click.echo(f"replay of a year of 50 teams: {took:.1f} s, {factors} factors")
+    off, on = _alone(_memory, False), _alone(_memory, True)
+    click.echo(f"memory of a process with three nodes and the rig: {off:.1f} MB off, {on:.1f} MB on")
+
+
+if __name__ == "__main__":
+    main()
--- a/kelpjunction/cli/__init__.py
+++ b/kelpjunction/cli/__init__.py
@@ -9,6 +9,7 @@
 from kelpjunction import __version__
 from kelpjunction.cli.jobs import job
 from kelpjunction.cli.lab import lab
+from kelpjunction.cli.ledger import ledger
 from kelpjunction.cli.serve import check, serve
 
 
@@ -24,5 +25,5 @@
     """
 
 
-for command in (serve, check, job, lab):
+for command in (serve, check, job, lab, ledger):
     main.add_command(command)
--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -40,6 +40,7 @@
 FEW_SOCKETS = 20
 GC_THRESHOLDS = (20_000, 20, 50)
 PEER_EVERY = timedelta(seconds=1)
+KEEP_EVERY = timedelta(seconds=1)
 REQUEST_SHARE = 0.3
 WRITE_SHARE = 0.6  # of the store's rate of changes: the leader needs more than a third, seldom all nodes at once
 
@@ -112,7 +113,7 @@
             platform, operators, self.store, self.mirror, self.book, blame, self.inventory, transport, clock, pause
         )
         self.intake = Intake(platform, self.store, self.mirror, self.verifier, self.book, self.fleet, clock)
-        self.records = Records(self.store, self.mirror, self.book, self.intake.remember)
+        self.records = Records(self.store, self.mirror, self.book, clock, self.intake.remember)
         self.holding = Holding(
             platform, operators, self.records, self.book, self.blocks, self.roster, self.fleet, blame, clock, changes
         )
@@ -130,15 +131,27 @@
             clock,
             changes,
         )
+        self.keeper = None
+        if operators.ledger.enabled:
+            # Imported by nodes that keep a ledger only.
+            from kelpjunction.ledger.keeper import Keeper
+
+            self.keeper = Keeper(
+                platform, operators.ledger, self.store, self.mirror, self.book, clock, follow_transport
+            )
+            self.leading.factor = self.keeper.factor
         self.blocks.on_gain = self._gain
         self.blocks.on_loss = self.roster.clear
         for prefix in (JOB_PREFIX, RUN_PREFIX, BLOCK_PREFIX):
             self.mirror.listen(prefix, lambda key, value, version: self.wake.set())
         self.inventory.on_change = self.wake.set
         self._begun: Reign | None = None
+        self.rounds = 0
 
     def _reign_changed(self, reign: Reign | None) -> None:
         self.fleet.begin(reign)
+        if reign is None and self.keeper is not None:
+            self.keeper.end()
         self.wake.set()
 
     def _gain(self, zone: str) -> None:
@@ -168,17 +181,29 @@
             return 503, b"{}"
         return self.roster.check_in(report)
 
+    def keep(self) -> None:
+        """Close what is due in the ledger, if this node leads and keeps one."""
+        if self.keeper is None:
+            return
+        try:
+            self.keeper.step()
+        except StoreDown as error:
+            log.debug("the ledger is closed later: %s", error)
+
     def round(self) -> bool:
         """One round as holder and, if this node leads, as leader; whether another should follow at once."""
         try:
             if not self.mirror.loaded or not self.records.settled():
                 return False
+            self.rounds += 1
             again = self.holding.round()
             if self.watch.changed:
                 self.watch.publish()
             reign = self.leadership.reign
             if reign is not None:
                 if self._begun is not reign:
+                    if self.keeper is not None:
+                        self.keeper.begin(reign)
                     self.leading.begin(reign)
                     self._begun = reign
                 again = self.leading.round() or again
@@ -222,7 +247,12 @@
         """Serve until the process is killed."""
         incoming = self._platform.max_sockets - self._outgoing - 2 * FEW_SOCKETS
         users = self._server(self._platform.listen, Application(self.node.intake, self.node.check_in), Pool(incoming))
-        peers = self._server(self._platform.internal, PeerApplication(self.node.intake), Pool(FEW_SOCKETS))
+        metrics = None
+        if self._operators.metrics:
+            from kelpjunction.metrics import Metrics
+
+            metrics = Metrics(self.node)
+        peers = self._server(self._platform.internal, PeerApplication(self.node.intake, metrics), Pool(FEW_SOCKETS))
         users.start()
         peers.start()
         # A node makes much garbage and few cycles: looking for them as often
@@ -232,6 +262,8 @@
         gc.set_threshold(*GC_THRESHOLDS)
         log.info("%s serves users and workers on %s", self._platform.node, self._platform.listen)
         loops = [self._follow, self._lead, self._rounds, self._cloud, self._watch, self._peers, self._beat]
+        if self.node.keeper is not None:
+            loops.append(self._keep)
         # A loop that ends has a defect; the node goes on without hiding it.
         gevent.joinall([gevent.spawn(self._guard, loop) for loop in loops])
 
@@ -291,6 +323,10 @@
         self.node.watch.step()
         sleep(seconds(0.5))
 
+    def _keep(self) -> None:
+        self.node.keep()
+        sleep(KEEP_EVERY)
+
     def _beat(self) -> None:
         self.node.presence.beat()
         sleep(BEAT)
--- a/kelpjunction/http.py
+++ b/kelpjunction/http.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import Callable, Iterable
 from datetime import timedelta
+from typing import TYPE_CHECKING
 
 import orjson
 from gevent.pywsgi import WSGIHandler
@@ -13,6 +14,9 @@
 from kelpjunction.wire import users, workers
 from kelpjunction.wire.users import Malformed
 
+if TYPE_CHECKING:
+    from kelpjunction.metrics import Metrics
+
 log = logging.getLogger("http")
 
 _REASONS = {
@@ -27,6 +31,7 @@
     503: "503 Service Unavailable",
 }
 PEER_PATH = "/peer"
+METRICS_PATH = "/metrics"
 
 
 def _respond(start_response: Callable, answer: Answer) -> Iterable[bytes]:
@@ -166,12 +171,19 @@
 
 
 class PeerApplication:
-    """What siblings may ask: whether this node hears the state service."""
+    """What siblings may ask, whether this node hears the state service; and its metrics, if there are any."""
 
-    def __init__(self, intake: Intake) -> None:
+    def __init__(self, intake: Intake, metrics: "Metrics | None" = None) -> None:
         self._intake = intake
+        self._metrics = metrics
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        if environ["PATH_INFO"] == METRICS_PATH and self._metrics is not None:
+            text = self._metrics.text()
+            start_response(
+                _REASONS[200], [("Content-Type", self._metrics.content_type), ("Content-Length", str(len(text)))]
+            )
+            return [text]
         if environ["PATH_INFO"] != PEER_PATH:
             return _respond(start_response, Answer(404, b"{}"))
         return _respond(start_response, Answer(200, orjson.dumps({"fresh": self._intake.fresh})))
--- a/kelpjunction/jobs/book.py
+++ b/kelpjunction/jobs/book.py
@@ -6,6 +6,11 @@
 that the next attempt takes.  A chunk all of whose tasks are done is folded
 into `l/sum/<ref>`, so a job of 100,000 tasks costs what its unfinished part
 costs.
+
+Where machine time is metered, a placement's row says when its start was
+committed, and whoever settles it adds the time it held its place to the
+chunk's record in the same transaction: what a job has held until now follows
+from its records alone (`Job.held_ms`), whatever failed meanwhile.
 """
 
 from collections import Counter
@@ -27,6 +32,7 @@
 SUM_PREFIX = "l/sum/"
 END_PREFIX = "e/"
 CHUNK = 64
+MILLISECOND = timedelta(milliseconds=1)
 MOST_FAILED_ON = 8  # machines a chunk's record names: enough to tell a wrong job by
 
 
@@ -63,6 +69,7 @@
     reason: str = ""
     cause: Cause | None = None
     saved: bool = False
+    started: int | None = None  # when its start was committed, in ms since its job's submission, if metered
     seen: bool = False  # some report listed it
     inflight: int = 0  # direct commands about it that were not answered yet
 
@@ -80,6 +87,18 @@
     def live(self) -> bool:
         return self.phase not in (Phase.STOPPING, Phase.SETTLED)
 
+    def held_ms(self, now: int) -> int:
+        """How long it has held its place, in ms; `now` counts from the job's submission.
+
+        Two nodes' times of day may differ a little: it never held less than nothing.
+        """
+        return 0 if self.started is None else max(0, now - self.started)
+
+    def row(self, index: int) -> list:
+        """This placement as its chunk's record holds it."""
+        row = [index, self.attempt, self.machine, self.session, self.zone]
+        return row if self.started is None else [*row, self.started]
+
 
 class Handed(NamedTuple):
     """The leader's leave to start a task in a block, on a named machine where the task's gang spans blocks."""
@@ -92,7 +111,7 @@
 class Chunk:
     """Up to 64 consecutive tasks."""
 
-    __slots__ = ("done", "failed_on", "failures", "handed", "next_attempt", "placements", "version")
+    __slots__ = ("done", "failed_on", "failures", "handed", "next_attempt", "placements", "spent", "version")
 
     def __init__(self) -> None:
         self.version = 0
@@ -102,6 +121,7 @@
         self.handed: dict[int, Handed] = {}
         self.failures = 0
         self.failed_on: list[str] = []  # machines where tasks failed, the latest last
+        self.spent = 0  # ms that settled placements held their places
 
     def pending(self) -> Iterator[tuple[int, Handed]]:
         """Tasks that were handed over and not started yet."""
@@ -112,14 +132,20 @@
     def counts(self) -> "Counts":
         return Counts(self.done.bit_count(), len(self.placements), sum(1 for _ in self.pending()))
 
+    def meter(self) -> "Meter":
+        starts = [p.started for p in self.placements.values() if p.started is not None]
+        return Meter(self.spent, len(starts), sum(starts))
+
     def record(self) -> dict:
         """This chunk as it is stored."""
         record = {
             "n": self.next_attempt,
             "d": self.done,
             "h": [[i, *(h if h.machine else h[:1])] for i, h in self.handed.items()],
-            "p": [[i, p.attempt, p.machine, p.session, p.zone] for i, p in self.placements.items()],
+            "p": [p.row(i) for i, p in self.placements.items()],
         }
+        if self.spent:
+            record["u"] = self.spent
         return record | {"f": [self.failures, self.failed_on]} if self.failures else record
 
     def failed(self, machines: list[str]) -> dict:
@@ -137,6 +163,14 @@
     pending: int = 0
 
 
+class Meter(NamedTuple):
+    """Machine time in ms: what settled placements held, how many are metered now, and the sum of their starts."""
+
+    spent: int = 0
+    running: int = 0
+    starts: int = 0
+
+
 class Job:
     """A live job.  Its counts are kept up to date by `take_chunk`, which makes every change of its chunks."""
 
@@ -148,7 +182,9 @@
         self.chunks: dict[int, Chunk] = {}
         self.full: set[int] = set()
         self.sum_version = 0
+        self.sum_spent = 0  # ms that the tasks of folded chunks held their places
         self.counts = Counts()
+        self.meter = Meter()
         self.failures = 0
         self.failed_on: set[str] = set()  # machines where tasks of this job failed
         self.noted_failures: set[str] = set()  # those of them in the book's index
@@ -172,22 +208,27 @@
     def take_chunk(self, number: int, change: Callable[[Chunk], None]) -> None:
         """Change a chunk, and the counts with it."""
         chunk = self.chunks.setdefault(number, Chunk())
-        before = self._counted(number, chunk)
+        before, metered = self._counted(number, chunk), chunk.meter()
         change(chunk)
         if chunk.version == 0:
             del self.chunks[number]
         self._count(before, self._counted(number, chunk))
+        after = chunk.meter()
+        if after != metered:
+            self.meter = Meter(*(n - b + a for n, b, a in zip(self.meter, metered, after, strict=True)))
         if self.failures or chunk.failures:
             self.failures = sum(c.failures for c in self.chunks.values())
             self.failed_on = {m for c in self.chunks.values() for m in c.failed_on}
 
-    def take_sum(self, full: set[int], version: int) -> None:
-        """Learn which chunks were folded away because all their tasks are done."""
+    def take_sum(self, full: set[int], spent: int, version: int) -> None:
+        """Learn which chunks were folded away because all their tasks are done, and what those held."""
         for number in sorted(full ^ self.full):
             chunk = self.chunks.get(number) or Chunk()
             before = self._counted(number, chunk)
             self.full ^= {number}
             self._count(before, self._counted(number, chunk))
+        self.meter = self.meter._replace(spent=self.meter.spent - self.sum_spent + spent)
+        self.sum_spent = spent
         self.sum_version = version
 
     def _counted(self, number: int, chunk: Chunk) -> Counts:
@@ -197,6 +238,15 @@
     def _count(self, before: Counts, after: Counts) -> None:
         self.counts = Counts(*(n - b + a for n, b, a in zip(self.counts, before, after, strict=True)))
 
+    def age_ms(self, now: datetime) -> int:
+        """Time since the job's submission, in whole ms: what starts are counted in."""
+        return (now - self.submitted) // MILLISECOND
+
+    def held_ms(self, now: datetime) -> int:
+        """How long its tasks have held their places, together, in ms."""
+        spent, running, starts = self.meter
+        return spent + running * self.age_ms(now) - starts if running else spent
+
     def pending(self) -> Iterator[tuple[TaskId, Handed]]:
         """Tasks that were handed to a block and not started yet."""
         if not self.counts.pending:
@@ -323,6 +373,7 @@
         self.cancelled: set[str] = set()
         self.failed_on: dict[str, set[str]] = {}  # the jobs whose tasks failed on a machine
         self.over: set[str] = set()  # jobs whose end is to be written down
+        self.metered: set[str] = set()  # jobs that have held machine time, as far as it is metered
         self.settled: dict[TaskId, Placement] = {}  # placements whose end is to be written down
         self.held: Counter[Need] = Counter()  # tasks placed or handed over, by team and size
         self._of_team: dict[str, SortedKeyList] = {}  # jobs, the earliest submitted first
@@ -354,7 +405,7 @@
                 self._of_team[job.spec.team].remove(job)
                 self._note_held(job, 0)
                 for index in (
-                    self.waiting, self.handed, self.gangs, self.accelerated, self.cancelled, self.over
+                    self.waiting, self.handed, self.gangs, self.accelerated, self.cancelled, self.over, self.metered
                 ):  # fmt: skip
                     index.discard(ref)
                 self._note_failures(ref, job.noted_failures, set())
@@ -381,6 +432,7 @@
             (self.accelerated, job.spec.gpus > 0 and not job.cancelled),
             (self.cancelled, job.cancelled),
             (self.over, job.over()),
+            (self.metered, any(job.meter)),
         ):
             (index.add if belongs else index.discard)(job.spec.ref)
 
@@ -407,7 +459,9 @@
 
     def _part_changed(self, job: Job, key: str, value: Any, version: int) -> None:
         if key.startswith(SUM_PREFIX):
-            job.take_sum({n for a, b in (value or {"full": []})["full"] for n in range(a, b + 1)}, version)
+            value = value or {"full": []}
+            full = {n for a, b in value["full"] for n in range(a, b + 1)}
+            job.take_sum(full, value.get("u", 0), version)
             return
         number = int(key.rpartition("/")[2])
         job.take_chunk(number, lambda chunk: self._chunk_changed(job, number, chunk, value, version))
@@ -420,10 +474,12 @@
         chunk.failures, chunk.failed_on = value.get("f", (0, []))
         chunk.handed = {row[0]: Handed(*row[1:]) for row in value["h"]}
         chunk.placements = {}
-        for i, attempt, machine, session, zone in value["p"]:
+        chunk.spent = value.get("u", 0)
+        for i, attempt, machine, session, zone, *started in value["p"]:
             known = old.get(i)
             if known is None or known.attempt != attempt:
                 known = Placement(TaskId(job.spec.ref, number * CHUNK + i), job.spec, attempt, machine, session, zone)
+                known.started = started[0] if started else None
                 if i in old:
                     self._drop(old[i])
                 self._put(known)
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -136,9 +136,12 @@
         keep = job.spec.shape is Shape.SERVICE and not job.cancelled
         record["p"] = [row for row in record["p"] if row[0] not in gone]
         record["h"] = [row for row in record["h"] if row[0] not in gone or keep]
+        now = job.age_ms(self._clock.utc())
         for i, placement in chunk.placements.items():
             if placement in done:
                 record["d"] |= 1 << i
+            if i in gone and (held := placement.held_ms(now)):
+                record["u"] = record.get("u", 0) + held
         failed = [p.machine for i, p in chunk.placements.items() if i in gone and p.cause is Cause.ERROR]
         return record | chunk.failed(failed) if failed else record
 
@@ -163,7 +166,10 @@
             if whole and not record["p"] and job.chunk_count > 1 and not folded:
                 folded = True
                 sum_key = SUM_PREFIX + job.spec.ref
-                txn.guard(sum_key, job.sum_version).put(sum_key, {"full": ranges(job.full | {number})})
+                folded_up = {"full": ranges(job.full | {number})}
+                if spent := job.sum_spent + record.get("u", 0):
+                    folded_up["u"] = spent
+                txn.guard(sum_key, job.sum_version).put(sum_key, folded_up)
                 txn.delete(key)
             else:
                 txn.put(key, record)
@@ -307,6 +313,7 @@
 
     def _start_txns(self, job: Job, starts: list[tuple[TaskId, View, int | None]]) -> list[Transaction]:
         """Launch records, guarded by the job, the chunk and the blocks' grants."""
+        metered = [job.age_ms(self._clock.utc())] if self._operators.metered else []
         by_chunk: dict[int, list[tuple[TaskId, View, int | None]]] = {}
         for start in starts:
             by_chunk.setdefault(start[0].index // CHUNK, []).append(start)
@@ -320,7 +327,7 @@
                 attempt = chunk.next_attempt if named is None else named
                 record["n"] = max(record["n"], attempt + 1)
                 session = self._roster.workers[view.name].session
-                record["p"].append([task.index % CHUNK, attempt, view.name, session, view.zone])
+                record["p"].append([task.index % CHUNK, attempt, view.name, session, view.zone, *metered])
             txns.append(txn.put(run_key(job.spec.ref, number), record))
         return txns
 
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -7,7 +7,7 @@
 
 import logging
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 
 from kelpjunction.blocks import Blocks
@@ -73,6 +73,8 @@
         self._snapshot_at = ZERO
         self._snapshot_keys = 0
         self._handed_at: dict[TaskId, tuple[str, timedelta]] = {}
+        # What a team keeps of its shared weight beyond its guarantee, for what it has used before.
+        self.factor: Callable[[str], float] = lambda team: 1.0
 
     def begin(self, reign: Reign) -> None:
         """Start a reign: read the last snapshot of the deficits.
@@ -201,7 +203,7 @@
         for job in waiting:
             by_team.setdefault(job.spec.team, []).append(job.spec.ref)
         claims = {name: map(_claim, self._book.of_team(name)) for name in by_team}
-        return shares(by_team, claims, self._platform.teams)
+        return shares(by_team, claims, self._platform.teams, self.factor)
 
     def _hand_tasks(
         self,
--- a/kelpjunction/jobs/records.py
+++ b/kelpjunction/jobs/records.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from kelpjunction.clock import Clock
 from kelpjunction.jobs.book import END_PREFIX, JOB_PREFIX, RUN_PREFIX, SUM_PREFIX, Book, Chunk, Job
 from kelpjunction.store.client import Ending, StoreClient, Transaction
 from kelpjunction.store.mirror import LIVE, Mirror
@@ -26,10 +27,13 @@
 class Records:
     """This node's writes of jobs' records."""
 
-    def __init__(self, store: StoreClient, mirror: Mirror, book: Book, on_ended: Callable[[str, str], None]) -> None:
+    def __init__(
+        self, store: StoreClient, mirror: Mirror, book: Book, clock: Clock, on_ended: Callable[[str, str], None]
+    ) -> None:
         self._store = store
         self._mirror = mirror
         self._book = book
+        self._clock = clock
         self._on_ended = on_ended
         self._doubtful: set[str] = set()
         self.left_over = True  # whether ended jobs may have left chunks behind
@@ -41,15 +45,23 @@
     def ending(self, job: Job) -> Transaction:
         """Move a job to its final record."""
         ref = job.spec.ref
-        end = "cancelled" if job.cancelled else "done"
-        txn = self.guarded(job).delete(JOB_PREFIX + ref).put(END_PREFIX + ref, {"end": end})
+        end = {"end": "cancelled" if job.cancelled else "done"}
+        if (held := job.held_ms(self._clock.utc())) > 0:
+            # The last word on what the job held: its other records go with it.
+            end["held"] = {"team": job.spec.team, "cpus": job.spec.cpus, "gpus": job.spec.gpus}
+            end["held"] |= {"memory": job.spec.memory, "ms": held}
+        txn = self.guarded(job).delete(JOB_PREFIX + ref).put(END_PREFIX + ref, end)
         if job.sum_version:
-            txn.delete(SUM_PREFIX + ref)
+            txn.guard(SUM_PREFIX + ref, job.sum_version).delete(SUM_PREFIX + ref)
+        most = self._store.limits.txn_ops
         for number, chunk in job.chunks.items():
-            if txn.ops >= self._store.limits.txn_ops:
+            key = run_key(ref, number)
+            if len(txn.guards) < most * GUARDS_PER_OP:
+                txn.guard(key, chunk.version)
+            if txn.ops < most:
+                txn.delete(key)
+            else:
                 self.left_over = True
-                break
-            txn.guard(run_key(ref, number), chunk.version).delete(run_key(ref, number))
         return txn
 
     def write(self, txns: list[Transaction]) -> bool:
--- a/kelpjunction/lab/standins.py
+++ b/kelpjunction/lab/standins.py
@@ -6,9 +6,10 @@
 """
 
 from bisect import bisect_right
+from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
 from operator import itemgetter
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs, urlsplit
 
 import orjson
@@ -34,6 +35,8 @@
         self.holds: dict[int, tuple[timedelta, timedelta]] = {}
         self.next_hold = 1
         self.out = False
+        self.forgotten = 0  # changes up to this revision are not told any more
+        self.on_set: Callable[[str, Any], None] = lambda key, value: None  # told of each change as it is applied
 
     def handle(self, method: str, path: str, body: dict) -> Reply:
         if self.out:
@@ -45,6 +48,8 @@
             return self._commit(body)
         if url.path == "/follow":
             since = int(query["since"])
+            if since < self.forgotten:
+                return Reply(410, {"ledger": self.revision})
             news = [
                 {"delete": k, "stamp": r} if v is None else {"set": k, "data": v, "stamp": r}
                 for r, k, v in self.history[bisect_right(self.history, since, key=itemgetter(0)) :]
@@ -98,6 +103,7 @@
         else:
             self.data[key] = (value, self.revision, hold)
         self.history.append((self.revision, key, value))
+        self.on_set(key, value)
 
     def expire(self) -> None:
         for hold, (end, _) in list(self.holds.items()):
@@ -107,6 +113,10 @@
                     self.revision += 1
                     self._set(key, None, None)
 
+    def forget_changes(self) -> None:
+        """As the service does with all but its latest changes."""
+        self.forgotten, self.history = self.revision, []
+
     def outage(self, on: bool) -> None:
         if self.out and not on:
             self.holds = {h: (self.clock.now + ttl, ttl) for h, (_, ttl) in self.holds.items()}
--- /dev/null
+++ b/kelpjunction/lab/weeks.py
@@ -0,0 +1,202 @@
+"""Weeks of eight teams on the simulated clock, with kills, freezes and outages, and the ledger's proof at their end.
+
+The time of day passes some hundred times as fast as the steady clock, so that
+leases, rounds and closings keep their pace.  At the end the ledger's sums are
+compared with the rig's own account, and each priority that a leader used with
+what a replay of the exported entries gives.
+"""
+
+from dataclasses import replace
+from datetime import timedelta
+from typing import NamedTuple
+
+from kelpjunction.lab.account import Account
+from kelpjunction.lab.world import STORE, Node, World
+from kelpjunction.ledger.accounts import Amounts, held, rows_of, total
+from kelpjunction.ledger.audit import Replayed, audit
+from kelpjunction.ledger.fading import ONE
+from kelpjunction.ledger.reader import Books, read
+from kelpjunction.settings import Operators, Team, load_operators
+
+SMALL, USUAL = 8.0, 16.0
+TEAMS = (
+    Team("heavy", SMALL, 0.0, None, None),  # as much as it gets, always
+    Team("weekly", USUAL, 0.0, None, None),  # a deadline at the end of each week
+    Team("idle", USUAL, 0.0, None, None),  # away from the second week to the fifth
+    Team("guest", 0.0, 0.0, None, None),
+    Team("late", SMALL, 0.0, None, None),  # joins in the third week
+    Team("north", USUAL, 0.0, 40.0, None),
+    Team("south", USUAL, 0.0, 40.0, None),
+    Team("pages", SMALL, 0.0, None, None),  # services
+)
+LIVE_JOBS = 3  # of a team at once, but for the heavy one
+TICK = 2.0  # seconds between two looks at the load
+LOST = 0.002  # of the nodes' requests to the state service: lost, or answered in vain
+
+
+class Used(NamedTuple):
+    """A priority that a leader used: the last entry it knew of, the team, the factor."""
+
+    entry: int
+    team: str
+    factor: float
+
+
+class Proof(NamedTuple):
+    """What the weeks came to."""
+
+    books: Books
+    replayed: Replayed
+    ledger: dict[str, Amounts]
+    account: dict[str, Amounts]
+    used: int  # priorities compared
+    wrong: list[Used]  # those that the replay does not give
+    faults: int
+    starts: int
+    broken: list[str]
+
+    @property
+    def holds(self) -> bool:
+        return not (self.replayed.fault or self.wrong or self.broken) and self.ledger == self.account
+
+
+class Weeks:
+    """Plays so much time of day as six weeks of load; a short run squeezes them."""
+
+    def __init__(self, seed: int, length: timedelta, day_speed: int = 720, form: str = "hyperbolic") -> None:
+        usual = load_operators(None)
+        settings = replace(usual.ledger, enabled=True, half_life=length / 6, form=form)
+        self.operators: Operators = replace(usual, ledger=settings)
+        self.world = World(
+            seed=seed, machines=12, capacity=12, teams=TEAMS, operators=self.operators, day_speed=day_speed
+        )
+        self._length = length
+        self._day_speed = day_speed
+        self._random = self.world.random
+        self._began = self.world.clock.utc()
+        self._refs: dict[str, list[str]] = {t.name: [] for t in TEAMS}
+        self._number = 0
+        self._used: set[Used] = set()
+        self.faults = 0
+        self.account = Account(self.world.store, self.world.clock)
+        self.world.filter = self._fate
+        self._watched: set[int] = set()
+
+    def _fate(self, source: str, target: str, path: str) -> str | None:
+        # Nothing is held back on its way to the state service: the account reads its clock.
+        if target != STORE or path.startswith("/follow") or self._random.random() >= LOST:
+            return None
+        return self._random.choice(["lost", "answer lost"])
+
+    def play(self) -> Proof:
+        """Play it, let all work end, close the ledger and compare."""
+        world = self.world
+        world.run(5)
+        while world.clock.utc() - self._began < self._length:
+            self._watch()
+            self._load()
+            if self._random.random() < 0.08:
+                self._fault()
+            world.run(TICK * self._random.uniform(0.5, 1.5))
+        world.filter = lambda source, target, path: None
+        world.store.outage(False)
+        for name in world.node_names:
+            if not world.runs(name):
+                world.start_node(name)
+        world.run(60)
+        for ref in [r for refs in self._refs.values() for r in refs]:
+            world.abort(ref)
+        assert world.run(200, lambda: not world.running() and not any(k.startswith("l/job/") for k in world.store.data))
+        world.run(60)
+        return self._proof()
+
+    # -- load -------------------------------------------------------------------
+
+    def _active(self, team: str, at: float) -> bool:
+        """Whether a team submits at this part of the whole, which counts as six weeks."""
+        week = at * 6
+        if team == "idle":
+            return week < 1 or week >= 5
+        if team == "late":
+            return week >= 2
+        if team == "weekly":
+            return week % 1 > 0.6
+        return self._random.random() < (0.9 if team == "heavy" else 0.15)
+
+    def _load(self) -> None:
+        at = (self.world.clock.utc() - self._began) / self._length
+        for team, refs in self._refs.items():
+            refs[:] = [ref for ref in refs if f"l/job/{ref}" in self.world.store.data]
+            if len(refs) < (2 * LIVE_JOBS if team in ("heavy", "weekly") else LIVE_JOBS) and self._active(team, at):
+                self._submit(team, refs)
+            elif refs and team == "pages" and self._random.random() < 0.1:
+                self.world.abort(refs[0])
+
+    def _submit(self, team: str, refs: list[str]) -> None:
+        self._number += 1
+        ref = f"j-{self._number:06d}"
+        kind = "service" if team == "pages" else self._random.choice(["batch", "batch", "batch", "ensemble"])
+        tasks = self._random.randint(1, 4) if kind != "batch" else self._random.randint(1, 90)
+        run = self._random.uniform(5, 40)
+        status = self.world.submit(
+            ref, tasks, crew=team, shape=kind, cpus=self._random.choice([1.0, 2.0, 3.5]),
+            run_s=run, expect_s=run, mark_s=10.0 if kind == "ensemble" else 0.0,
+        )  # fmt: skip
+        if status == 201:
+            refs.append(ref)
+
+    # -- faults -------------------------------------------------------------------
+
+    def _fault(self) -> None:
+        world, leader = self.world, self.world.leader_name()
+        kind = self._random.choice(["leader", "leader", "node", "freeze", "outage", "all"])
+        running = [n for n in world.node_names if world.runs(n) and n not in world.frozen]
+        if world.store.out or not running or (leader is None and kind == "leader"):
+            return
+        self.faults += 1
+        back = self._random.uniform(1, 12)
+        if kind == "outage":
+            world.fault("outage", "", self._random.uniform(2, 25))
+        elif kind == "freeze":
+            world.fault("freeze", self._random.choice(running), back)
+        else:
+            target = {"leader": leader, "all": "all"}.get(kind) or self._random.choice(running)
+            world.fault("kill", target, back)
+
+    # -- priorities -----------------------------------------------------------------
+
+    def _watch(self) -> None:
+        """Note each factor that a leader uses, with the last entry it knows of."""
+        for node in self.world.nodes.values():
+            if node is not None and id(node) not in self._watched:
+                self._watched.add(id(node))
+                node.leading.factor = self._noting(node)
+
+    def _noting(self, node: Node):
+        def factor(team: str) -> float:
+            value = node.keeper.factor(team)
+            self._used.add(Used(node.keeper.entry, team, value))
+            return value
+
+        return factor
+
+    # -- the proof ------------------------------------------------------------------
+
+    def _proof(self) -> Proof:
+        world = self.world
+        books = read(next(node.store for node in world.nodes.values() if node is not None))
+        account: dict[str, Amounts] = {}
+        for (team, *size), ms in self.account.held.items():
+            account[team] = account.get(team, Amounts()) + held(*size, ms)
+        sums = {team: amounts for team, amounts in total(books.entries).items() if any(amounts)}
+        factors = {0: {}}
+        for entry in books.entries:
+            now = dict(factors[entry["n"] - 1])
+            if entry["kind"] == "closing":
+                now |= {team: row.factor / ONE for team, row in rows_of(entry).items()}
+            factors[entry["n"]] = now
+        wrong = [u for u in self._used if factors[u.entry].get(u.team, 1.0) != u.factor]
+        account = {team: amounts for team, amounts in account.items() if any(amounts)}
+        return Proof(
+            books, audit(books), sums, account, len(self._used), wrong, self.faults, len(world.starts), world.broken
+        )
--- a/kelpjunction/lab/world.py
+++ b/kelpjunction/lab/world.py
@@ -24,16 +24,21 @@
 
 
 class SimClock:
-    """A clock that moves only when the world moves it."""
+    """A clock that moves only when the world moves it.
 
-    def __init__(self) -> None:
+    The time of day may pass `day_speed` times as fast as the steady clock:
+    leases and rounds keep their pace while weeks go by.
+    """
+
+    def __init__(self, day_speed: int = 1) -> None:
         self.now = seconds(1000)
+        self._day_speed = day_speed
 
     def steady(self) -> timedelta:
         return self.now
 
     def utc(self) -> datetime:
-        return START + self.now
+        return START + self.now * self._day_speed
 
 
 class Weather(NamedTuple):
@@ -58,8 +63,11 @@
         teams: tuple[Team, ...] | None = None,
         aimed: frozenset[str] = frozenset(),
         weather: Weather | None = None,
+        operators: Operators | None = None,
+        day_speed: int = 1,
     ):
-        super().__init__(SimClock(), seed, ("a", "b", "c"), teams or TEAMS, capacity)
+        super().__init__(SimClock(day_speed), seed, ("a", "b", "c"), teams or TEAMS, capacity)
+        self.operators = operators or load_operators(None)
         self.weather, self.varied = weather, weather is not None
         self.aimed = aimed
         self.late: list[tuple[timedelta, int, Callable]] = []
@@ -91,13 +99,10 @@
             store=STORE_LIMITS, cloud=CLOUD_LIMITS,
         )  # fmt: skip
 
-    def operators(self) -> Operators:
-        return load_operators(None)
-
     def start_node(self, name: str) -> Node:
         transport = _Link(self, name)
         node = Node(
-            self.platform(name), self.operators(), transport, transport, transport, self.clock,
+            self.platform(name), self.operators, transport, transport, transport, self.clock,
             lambda function, *args: function(*args), lambda duration: None, random.Random(self.random.random()),
         )  # fmt: skip
         self.nodes[name] = node
@@ -284,6 +289,7 @@
             node.watch.step()
         if beat % 10 == 0:
             node.fleet.step()
+            node.keep()
 
 
 class _Link:
--- /dev/null
+++ b/kelpjunction/ledger/fading.py
@@ -0,0 +1,81 @@
+"""Fading and factors in whole numbers, so that any machine computes the same to the last bit.
+
+Amounts are integers, times integers of milliseconds, factors integers of
+2**-32.  A power of two with a fraction in its exponent is a product of the
+square roots of a half, a quarter and so on, one for each set bit of the
+fraction; each is an exact integer square root.  A floating-point `pow` or
+`exp` may differ in the last digits between C libraries, which a replay would
+see.
+
+Errors: `fade` is at most one unit below the true value, and at most 2**-32 of
+it above.  It is monotone: more, or sooner, never leaves less.
+"""
+
+import math
+from collections.abc import Callable
+
+FRACTION_BITS = 32
+ONE = 1 << FRACTION_BITS
+LN2 = 2_977_044_471  # ln 2 in 2**-32, rounded down
+_ROOT_BITS = 96
+
+
+def _roots() -> tuple[int, ...]:
+    """2 ** -(2 ** -k) for k from 1 to 32, in 2**-96, each rounded down."""
+    found = [math.isqrt(1 << (2 * _ROOT_BITS - 1))]
+    while len(found) < FRACTION_BITS:
+        found.append(math.isqrt(found[-1] << _ROOT_BITS))
+    return tuple(found)
+
+
+_ROOTS = _roots()
+
+
+def fade(amount: int, passed: int, half_life: int) -> int:
+    """What is left of an amount after `passed`; half of it after each `half_life`, in the same unit."""
+    if passed <= 0 or amount <= 0:
+        return max(0, amount)
+    halvings, rest = divmod(passed, half_life)
+    fraction = (rest << FRACTION_BITS) // half_life
+    share = 1 << _ROOT_BITS
+    for k, root in enumerate(_ROOTS, start=1):
+        if fraction >> (FRACTION_BITS - k) & 1:
+            share = share * root >> _ROOT_BITS
+    # Rounded once: rounding at each root would let a little later leave a little more.
+    return amount * share >> (_ROOT_BITS + halvings)
+
+
+def full_use(share: int, half_life: int) -> int:
+    """What faded usage comes to for who holds exactly `share` all the time: share times half-life by ln 2."""
+    return (share * half_life << FRACTION_BITS) // LN2
+
+
+def hyperbolic(faded: int, full: int) -> int:
+    """1 / (1 + x), where x is faded usage against full use of the share: a half at x = 1, a tenth at 9."""
+    return (full << FRACTION_BITS) // (full + faded)
+
+
+def exponential(faded: int, full: int) -> int:
+    """2 ** -x: a half at x = 1, a five-hundredth at 9."""
+    return fade(ONE << FRACTION_BITS, faded, full) >> FRACTION_BITS
+
+
+def linear(faded: int, full: int) -> int:
+    """1 - x / 4: nothing from four times the share on."""
+    return max(0, ONE - (faded << FRACTION_BITS) // (4 * full))
+
+
+FORMS: dict[str, Callable[[int, int], int]] = {
+    "hyperbolic": hyperbolic,
+    "exponential": exponential,
+    "linear": linear,
+}
+
+
+def factor(form: str, faded: int, share: int, half_life: int, floor: int) -> int:
+    """By what the shared weight of a team's work beyond its guarantee is multiplied, in 2**-32.
+
+    Never above 1, where a team stands that has used nothing, for however
+    long; never below `floor`.  A share of nothing counts as one unit.
+    """
+    return max(floor, FORMS[form](faded, full_use(max(1, share), half_life)))
--- a/kelpjunction/queue/__init__.py
+++ b/kelpjunction/queue/__init__.py
@@ -5,7 +5,7 @@
 credit on arrival) less the machine time it received.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from typing import NamedTuple
@@ -34,13 +34,17 @@
 
 
 def shares(
-    waiting: Mapping[str, Collection[str]], claims: Mapping[str, Iterable[Claim]], teams: dict[str, Team]
+    waiting: Mapping[str, Collection[str]],
+    claims: Mapping[str, Iterable[Claim]],
+    teams: dict[str, Team],
+    factor: Callable[[str], float] = lambda team: 1.0,
 ) -> dict[str, float]:
     """What part of its weight each waiting job keeps.
 
     All of it while the job fits its team's guarantee together with the team's
     earlier unfinished jobs.  Beyond that a team's waiting jobs share one
-    weight, so that a swarm of them can't outrun everybody else.  `claims` has
+    weight, so that a swarm of them can't outrun everybody else; `factor` says
+    what of that weight a team keeps for what it has used before.  `claims` has
     each team's unfinished jobs, the earliest first; they are read only as far
     as the guarantee reaches.
     """
@@ -52,7 +56,7 @@
         inside = _inside(team, claims[name])
         beyond = [ref for ref in refs if ref not in inside]
         kept.update(dict.fromkeys(refs, 1.0))
-        kept.update(dict.fromkeys(beyond, 1.0 / max(1, len(beyond))))
+        kept.update(dict.fromkeys(beyond, factor(name) / max(1, len(beyond))))
     return kept
 
 
--- a/kelpjunction/settings.py
+++ b/kelpjunction/settings.py
@@ -92,6 +92,19 @@
     max_sockets: int = 1000
 
 
+@dataclass(frozen=True, slots=True)
+class LedgerSettings:
+    """How usage counts against teams; the schema holds the defaults."""
+
+    enabled: bool
+    half_life: timedelta
+    period: timedelta
+    form: str
+    floor: float
+    weights: dict[str, float]
+    guest_share: float
+
+
 @dataclass(frozen=True, slots=True)
 class Operators:
     """The operators' own settings; the schema holds the defaults."""
@@ -106,6 +119,13 @@
     idle_return: timedelta
     spare_share: float
     gang_memory: timedelta
+    ledger: LedgerSettings
+    metrics: bool
+
+    @property
+    def metered(self) -> bool:
+        """Whether jobs' records tell how long their tasks hold their places."""
+        return self.ledger.enabled
 
 
 _NUMBER = {"type": "number", "minimum": 0, "maximum": 1e12}
@@ -248,4 +268,18 @@
         idle_return=seconds(raw["idle_return_s"]),
         spare_share=raw["spare_share"],
         gang_memory=seconds(raw["gang_memory_s"]),
+        ledger=_ledger(raw["ledger"]),
+        metrics=raw["metrics"],
+    )
+
+
+def _ledger(raw: dict) -> LedgerSettings:
+    return LedgerSettings(
+        enabled=raw["enabled"],
+        half_life=seconds(raw["half_life_s"]),
+        period=seconds(raw["period_s"]),
+        form=raw["form"],
+        floor=raw["floor"],
+        weights=raw["weights"],
+        guest_share=raw["guest_share"],
     )
--- a/kelpjunction/store/client.py
+++ b/kelpjunction/store/client.py
@@ -155,6 +155,8 @@
         self.limits = limits
         self.service = Service.ANSWERING
         self.heard_at = clock.steady()
+        self.requests = 0  # sent since this process began
+        self.refusals = 0  # of those, answered 429
 
     # -- reading ------------------------------------------------------------
 
@@ -190,6 +192,7 @@
         Takes a transport of its own: a watch holds its connection.
         """
         path = wire.follow_path(prefix, since, round(wait.total_seconds() * 1000))
+        self.requests += 1
         try:
             reply = transport.request(self._address, "GET", path, None, wait + timedelta(seconds=3))
         except NoAnswer as error:
@@ -226,6 +229,7 @@
 
     def _commit_once(self, body: bytes, timeout: timedelta) -> Outcome | None:
         """Send a transaction; None if the service had no room for the request."""
+        self.requests += 1
         try:
             reply = self._transport.request(self._address, "POST", wire.COMMIT_PATH, body, timeout)
         except NoAnswer as error:
@@ -241,6 +245,7 @@
             self._note(True)
             return Outcome(Ending.CONFLICT, failed=wire.parse_failed(reply.fields))
         if reply.status == 429:
+            self.refusals += 1
             self._note(True)
             return None
         if reply.status in (400, 503):
@@ -275,6 +280,7 @@
     # -- what is known of the service ---------------------------------------
 
     def _ask(self, method: str, path: str, body: bytes | None, timeout: timedelta) -> Reply:
+        self.requests += 1
         try:
             reply = self._transport.request(self._address, method, path, body, timeout)
         except NoAnswer as error:
@@ -284,6 +290,7 @@
 
     def _checked(self, reply: Reply) -> Reply:
         if reply.status in (429, 503) or reply.status >= 500:
+            self.refusals += reply.status == 429
             self._note(reply.status == 429, f"status {reply.status}")
             raise StoreDown(f"status {reply.status}")
         self._note(True)
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -1,6 +1,7 @@
 """The workers of the blocks that this node holds."""
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -71,6 +72,8 @@
         self._wake = wake
         self._changes = changes
         self.workers: dict[str, Worker] = {}
+        self.starts = self.stops = 0  # sent straight to workers since this process began
+        self.settled: Counter[Cause] = Counter()
         self.bump_zones: set[str] = set()
         self.on_seen: Callable[[Report], None] = lambda report: None
         self.images_of: Callable[[str], list[str]] = lambda machine: []
@@ -184,6 +187,7 @@
         if placement.phase is Phase.SETTLED:
             return
         placement.cause, placement.saved = cause, saved
+        self.settled[cause] += 1
         placement.advance(Phase.SETTLED, now)
         self._book.settled[placement.task] = placement
         if cause not in (Cause.DONE, Cause.STOPPED):
@@ -244,7 +248,10 @@
             for placement in group:
                 placement.inflight += 1
                 if placement.live:
+                    self.starts += 1
                     placement.advance(Phase.STARTED, now)
+                else:
+                    self.stops += 1
             commands = [self.command_of(p) for p in group]
             self._spawn(self._send, worker, token, commands, group)
 
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -10,8 +10,9 @@
 from gevent.pywsgi import WSGIServer
 
 from kelpjunction.cli.serve import serve
-from kelpjunction.http import Handler
+from kelpjunction.http import Handler, PeerApplication
 from kelpjunction.lab.world import World
+from kelpjunction.metrics import Metrics
 from kelpjunction.settings import SettingsError, load_operators, load_platform
 from kelpjunction.transport import HttpTransport
 from kelpjunction.wire.users import Malformed, fields_to_keep, parse_job
@@ -193,3 +194,26 @@
         (answer,) = echo.talk(f"POST /checkin HTTP/1.1\r\nHost: a\r\n{headers}\r\nbody")
     assert answer.startswith(b"HTTP/1.1 400")
     assert echo.asked == []
+
+
+def test_metrics_are_served_on_the_internal_face_where_they_are_turned_on():
+    world = World()
+    world.run(6)
+    world.submit("j-1", 3)
+    world.run(6)
+    node = world.leader()
+
+    def asked(application) -> tuple[str, bytes]:
+        statuses = []
+        body = application({"PATH_INFO": "/metrics"}, lambda status, headers: statuses.append(status))
+        return statuses[0], b"".join(body)
+
+    assert asked(PeerApplication(node.intake))[0].startswith("404")
+    status, text = asked(PeerApplication(node.intake, Metrics(node)))
+    figures = dict(line.split(" ") for line in text.decode().splitlines() if not line.startswith("#"))
+    assert status.startswith("200")
+    assert float(figures["kelpjunction_leads"]) == 1
+    assert float(figures["kelpjunction_rounds_total"]) == node.rounds > 50
+    assert float(figures["kelpjunction_blocks_held"]) == len(node.blocks.my_zones()) > 0
+    assert float(figures["kelpjunction_store_requests_total"]) == node.store.requests > 100
+    assert sum(n.roster.starts for n in world.nodes.values()) == 3
