--- a/benchmarks/ledger.py
+++ b/benchmarks/ledger.py
@@ -2,12 +2,14 @@
 
     python benchmarks/ledger.py weeks [--weeks 6] [--seeds 3] [--report FOLDER]
     python benchmarks/ledger.py costs
+    python benchmarks/ledger.py forms docs/ledger-forms.svg
 
 `weeks` plays simulated weeks in parallel processes and exits with 1 unless the
 ledger's sums are the account's to the millisecond and every priority is the
 replay's to the bit.  `costs` gives ratios in one run, with the ledger on and
 off: a leader's round with 20,000 waiting jobs, a takeover at 1,000 teams, the
-replay of a year of 50 teams, the memory of a node.
+replay of a year of 50 teams, the memory of a node.  `forms` draws the three
+forms of the factor and what they do to a heavy user.
 """
 
 import os
@@ -174,5 +176,41 @@
     click.echo(f"memory of a process with three nodes and the rig: {off:.1f} MB off, {on:.1f} MB on")
 
 
+@main.command()
+@click.argument("target", type=click.Path(dir_okay=False, path_type=Path))
+def forms(target: Path) -> None:
+    """Draw the forms of the factor: against usage, and over eight weeks of a heavy user."""
+    import matplotlib as mpl
+    from matplotlib.figure import Figure
+
+    from kelpjunction.ledger.accounts import charged
+    from kelpjunction.ledger.fading import FORMS, ONE, factor, full_use
+
+    usual, share = load_operators(None).ledger, 8_000
+    half_life = usual.half_life // timedelta(milliseconds=1)
+    full = full_use(share, half_life)
+    figure = Figure(figsize=(10, 3.8), layout="constrained")
+    against, time_line = figure.subplots(1, 2)
+    against.set(xlabel="faded usage against the share", ylabel="factor", title="The three forms, floor 0.05")
+    time_line.set(xlabel="days", title="12 times its share for four weeks, then nothing")
+    days = range(8 * 7)
+    for name in FORMS:
+        values = [factor(name, round(x / 20 * full), share, half_life, ONE // 20) / ONE for x in range(200)]
+        against.plot([x / 20 for x in range(200)], values, label=name)
+        policy, faded, line = Policy.of(replace(usual, form=name), {}), 0, []
+        for day in days:
+            use = held(96.0 if day < 28 else 0.0, 0.0, 0.0, 24 * HOUR)
+            row = charged(faded, 24 * HOUR, use, share, policy)
+            faded = row.faded
+            line.append(row.factor / ONE)
+        time_line.plot(days, line, label=name)
+    for axes in (against, time_line):
+        axes.set_ylim(0, 1.02)
+        axes.grid(alpha=0.3)
+        axes.legend()
+    with mpl.rc_context({"svg.hashsalt": "forms", "svg.fonttype": "none"}):
+        figure.savefig(target, metadata={"Date": None})
+
+
 if __name__ == "__main__":
     main()
--- a/kelpjunction/cli/lab.py
+++ b/kelpjunction/cli/lab.py
@@ -7,6 +7,7 @@
 import click
 import orjson
 
+from kelpjunction.settings import SettingsError, load_operators
 from kelpjunction.transport import HttpTransport, NoAnswer
 
 DEFAULT_PORT = 18000
@@ -14,6 +15,19 @@
     "--port", default=DEFAULT_PORT, show_default=True, type=click.IntRange(1024, 60000), help="The lab's first port."
 )
 
+_operators = click.option(
+    "--operators", type=click.Path(), help="The operators' settings (JSON) of all nodes; for instance a ledger."
+)
+
+
+def _settings(operators: str | None):
+    """The operators' settings, checked before anything starts."""
+    try:
+        return load_operators(operators)
+    except SettingsError as error:
+        click.echo(f"kelpjunction: {error}", err=True)
+        sys.exit(2)
+
 
 def _live(*args):
     """A live site, its servers and processes; imported late, since nodes never need it."""
@@ -38,8 +52,9 @@
 @click.option("--machines", default=12, show_default=True, type=click.IntRange(1, 200))
 @click.option("--speed", default=1.0, show_default=True, type=click.FloatRange(0.1, 100), help="Of tasks and boots.")
 @click.option("--minutes", default=0.0, help="End by itself after this long; 0: only by Ctrl-C.")
+@_operators
 @_port
-def up(nodes: int, zones: int, machines: int, speed: float, minutes: float, port: int) -> None:
+def up(nodes: int, zones: int, machines: int, speed: float, minutes: float, operators: str | None, port: int) -> None:
     """Bring the lab up and show it until Ctrl-C.
 
     \b
@@ -52,7 +67,8 @@
 
     from kelpjunction.lab.table import render
 
-    site = _live(nodes, zones, machines, speed, port)
+    _settings(operators)
+    site = _live(nodes, zones, machines, speed, port, 1, operators)
     try:
         with Live(render(site.status()), refresh_per_second=2) as table:
             left = minutes * 60 or float("inf")
@@ -72,8 +88,11 @@
 @click.option("--seed", default=1, show_default=True, help="Moves arrivals, run and boot times, and messages.")
 @click.option("--speed", default=1.0, show_default=True, type=click.FloatRange(0.1, 100))
 @click.option("--json", "as_json", is_flag=True, help="Print the summary as JSON.")
+@_operators
 @_port
-def run(scenario: Path, simulated: bool, seed: int, speed: float, as_json: bool, port: int) -> None:
+def run(
+    scenario: Path, simulated: bool, seed: int, speed: float, as_json: bool, operators: str | None, port: int
+) -> None:
     """Play SCENARIO (TOML): load, faults, and a check of the rules.
 
     Exit code 1 if a rule was broken or a job did not end as it should, 2 if
@@ -87,13 +106,14 @@
     from kelpjunction.lab.scenario import Player, ScenarioError, load
     from kelpjunction.lab.world import Weather, World
 
-    site = None
+    site, tuning = None, _settings(operators)
     try:
         what = load(scenario)
+        machines = what["machines"]
         if simulated:
-            site = World(seed=seed, machines=what["machines"], capacity=2 * what["machines"], weather=Weather())
+            site = World(seed, machines, 2 * machines, weather=Weather(), operators=tuning)
         else:
-            site = _live(3, 3, what["machines"], speed, port, seed)
+            site = _live(3, 3, machines, speed, port, seed, operators)
         player = Player(site, what, lambda line: click.echo(line, err=True))
         well = player.play()
     except ScenarioError as error:
--- a/kelpjunction/cli/serve.py
+++ b/kelpjunction/cli/serve.py
@@ -8,11 +8,12 @@
 from kelpjunction import __version__, logs
 from kelpjunction.settings import Operators, Platform, SettingsError, load_operators, load_platform
 
+OPERATORS_VARIABLE = "KELPJUNCTION_OPERATORS"
 _config = click.option("--config", required=True, type=click.Path(), help="The platform's settings file (TOML).")
 _operators = click.option(
     "--operators",
     type=click.Path(),
-    envvar="KELPJUNCTION_OPERATORS",
+    envvar=OPERATORS_VARIABLE,
     help="The operators' settings (JSON); see kelpjunction/operators.schema.json.",
 )
 
--- a/kelpjunction/lab/live.py
+++ b/kelpjunction/lab/live.py
@@ -48,7 +48,15 @@
     """Real nodes, and the stand-ins around them."""
 
     def __init__(
-        self, nodes: int, zones: int, machines: int, speed: float, port: int, seed: int = 1, verbose: bool = False
+        self,
+        nodes: int,
+        zones: int,
+        machines: int,
+        speed: float,
+        port: int,
+        seed: int = 1,
+        operators: str | None = None,
+        verbose: bool = False,
     ) -> None:
         names = tuple("abcdefghijklmnopqrstuvwxyz"[:zones])
         super().__init__(LiveClock(), seed, names, TEAMS, 2 * machines, speed)
@@ -56,6 +64,7 @@
         self.varied = True
         self._port = port
         self._verbose = verbose
+        self._operators = [] if operators is None else ["--operators", str(Path(operators).resolve())]
         self._transport = HttpTransport()
         self._folder = tempfile.TemporaryDirectory(prefix="kelpjunction-lab-")
         self._servers: list[WSGIServer] = []
@@ -182,7 +191,7 @@
         log = (Path(self._folder.name) / f"{name}.log").open("ab")
         with log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "kelpjunction", "serve", "--config", str(file)],
+                [sys.executable, "-m", "kelpjunction", "serve", "--config", str(file), *self._operators],
                 stderr=None if self._verbose else log,
                 cwd=Path(__file__).resolve().parents[2],
             )
--- a/kelpjunction/store/client.py
+++ b/kelpjunction/store/client.py
@@ -22,8 +22,9 @@
 log = logging.getLogger("store")
 
 PAGE = 1000
-TRIES = 3
-REFUSED_PAUSE = timedelta(milliseconds=150)
+# Pauses after refusals.  The service's rate comes back a change at a time and
+# all nodes want it: a few close tries find room more often than a late one.
+REFUSED_PAUSES = tuple(timedelta(milliseconds=ms) for ms in (40, 60, 90, 130, 180))
 
 
 class StoreDown(Exception):
@@ -138,7 +139,7 @@
     def refused(self) -> None:
         """The service had no room: all nodes together ask for too much."""
         self._pass_time()
-        self.rate = max(self._most * self.LEAST, self.rate * 0.8)
+        self.rate = max(self._most * self.LEAST, self.rate * 0.9)
 
 
 class StoreClient:
@@ -218,13 +219,14 @@
         ops = len(puts or {}) + len(deletes)
         if ops and (delay := self._writes.delay(ops, haste)):
             self._sleep(delay)
-        for _ in range(TRIES):
+        for pause in (*REFUSED_PAUSES, None):
             outcome = self._commit_once(body, timeout)
             if outcome is not None:
                 return outcome
             # Too many requests: it was certainly not applied.
             self._writes.refused()
-            self._sleep(REFUSED_PAUSE)
+            if pause is not None:
+                self._sleep(pause)
         return Outcome(Ending.REFUSED)
 
     def _commit_once(self, body: bytes, timeout: timedelta) -> Outcome | None:
--- a/run.py
+++ b/run.py
@@ -1,5 +1,10 @@
-"""Start one kelpjunction controller: `python3 run.py --config SETTINGS.toml`."""
+"""Start one kelpjunction controller: `python3 run.py --config SETTINGS.toml`.
 
+What the operators set for all controllers is in `deploy/operators.json`, if
+there is one; `--operators` and `KELPJUNCTION_OPERATORS` name another.
+"""
+
+import os
 import sys
 from pathlib import Path
 
@@ -11,7 +16,10 @@
     if folder.is_dir():
         sys.path.insert(0, str(folder))
 
-from kelpjunction.cli.serve import serve  # noqa: E402
+from kelpjunction.cli.serve import OPERATORS_VARIABLE, serve  # noqa: E402
 
 if __name__ == "__main__":
+    operators = ROOT / "deploy" / "operators.json"
+    if operators.is_file():
+        os.environ.setdefault(OPERATORS_VARIABLE, str(operators))
     serve(prog_name="kelpjunction")
