--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 demo: .venv/installed
 	$(BIN)/kelpjunction lab run examples/demo.toml
 
-.venv/installed: requirements.txt requirements-lab.txt requirements-ledger.txt requirements-dev.txt pyproject.toml
+.venv/installed: requirements.txt requirements-lab.txt requirements-ledger.txt requirements-tickets.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/python -m pip install -q -r requirements-dev.txt
 	$(BIN)/python -m pip install -q --no-deps -e .
--- a/kelpjunction/cli/__init__.py
+++ b/kelpjunction/cli/__init__.py
@@ -11,6 +11,7 @@
 from kelpjunction.cli.lab import lab
 from kelpjunction.cli.ledger import ledger
 from kelpjunction.cli.serve import check, serve
+from kelpjunction.cli.ticket import ticket
 
 
 @click.group()
@@ -25,5 +26,5 @@
     """
 
 
-for command in (serve, check, job, lab, ledger):
+for command in (serve, check, job, lab, ledger, ticket):
     main.add_command(command)
--- /dev/null
+++ b/kelpjunction/tickets/wire.py
@@ -0,0 +1,114 @@
+"""Open Job Description's job templates, 2023-09, read and checked by the format's own library.
+
+Specification: "Open Job Description", template schemas 2023-09; `openjd-model`
+is its reference library.  Importing it takes half a second of processor time
+and 24 MB, so that nobody does who has no ticket to read.
+"""
+
+from pathlib import Path
+from typing import Any
+
+import yaml
+from openjd.model import (
+    DecodeValidationError,
+    StepParameterSpaceIterator,
+    create_job,
+    decode_job_template,
+    preprocess_job_parameters,
+)
+from pydantic import ValidationError
+
+from kelpjunction.tickets.plan import Amount, Attribute, Fault, Refused, Step
+
+MAX_BYTES = 64 * 1024
+MAX_DEPTH = 32
+EXTENSIONS = ("TASK_CHUNKING",)
+NOWHERE = Path("/")  # paths in parameters are the worker's business
+
+
+def read(text: bytes, parameters: dict[str, str]) -> tuple[str, list[Step], dict]:
+    """A ticket's name, its steps with parameters resolved, and its content; raises `Refused`."""
+    document = _document(text)
+    template = _decoded(document)
+    try:
+        values = preprocess_job_parameters(
+            job_template=template,
+            job_parameter_values=parameters,
+            job_template_dir=NOWHERE,
+            current_working_dir=NOWHERE,
+            allow_job_template_dir_walk_up=True,
+        )
+        job = create_job(job_template=template, job_parameter_values=values)
+    except DecodeValidationError as error:
+        raise Refused(_faults(str(error))) from error
+    except ValueError as error:
+        raise Refused(Fault("parameterDefinitions", "", line) for line in str(error).splitlines()) from error
+    return job.name, [_step(step) for step in job.steps], document
+
+
+def _document(text: bytes) -> dict:
+    """JSON or YAML as an object; refused by size and depth before anything is made of it."""
+    if len(text) > MAX_BYTES:
+        raise Refused([Fault("", f"{len(text)} bytes", f"a ticket has at most {MAX_BYTES} bytes")])
+    try:
+        depth = 0
+        for event in yaml.parse(text, Loader=yaml.SafeLoader):
+            depth += isinstance(event, yaml.CollectionStartEvent) - isinstance(event, yaml.CollectionEndEvent)
+            if depth > MAX_DEPTH:
+                raise Refused([Fault("", "", f"a ticket is nested at most {MAX_DEPTH} deep")])
+            if isinstance(event, yaml.AliasEvent):
+                # A few of them, nested, stand for more than any memory holds.
+                raise Refused([Fault("", f"*{event.anchor}", "aliases are not taken")])
+        document = yaml.safe_load(text)
+    except (yaml.YAMLError, UnicodeDecodeError, ValueError, RecursionError) as error:
+        raise Refused([Fault("", "", f"neither JSON nor YAML: {' '.join(str(error).split())}")]) from error
+    if not isinstance(document, dict):
+        raise Refused([Fault("", type(document).__name__, "a ticket is an object")])
+    return document
+
+
+def _decoded(document: dict) -> Any:
+    try:
+        return decode_job_template(template=document, supported_extensions=EXTENSIONS)
+    except DecodeValidationError as error:
+        raise Refused(_faults(str(error))) from error
+    except IndexError as error:
+        # The library fails to put together its report where a fault belongs
+        # to no field, as steps that depend on one another in a circle do.
+        raise Refused(_unplaced(error)) from error
+    except (ValueError, TypeError, RecursionError) as error:
+        raise Refused([Fault("", "", " ".join(str(error).split()))]) from error
+
+
+def _unplaced(error: IndexError) -> list[Fault]:
+    if not isinstance(error.__context__, ValidationError):
+        raise error
+    return [Fault(".".join(map(str, e["loc"])) or "steps", "", e["msg"]) for e in error.__context__.errors()]
+
+
+def _faults(message: str) -> list[Fault]:
+    """The library's report as faults: a line for each path, its rules indented below."""
+    found: list[Fault] = []
+    path = ""
+    for line in message.splitlines()[1:]:
+        if line.startswith("\t"):
+            found.append(Fault(path, "", line.strip()))
+        else:
+            path = line.strip().rstrip(":").replace(" -> ", ".")
+    return found or [Fault("", "", message)]
+
+
+def _step(step: Any) -> Step:
+    space = step.parameterSpace and StepParameterSpaceIterator(space=step.parameterSpace)
+    asked = step.hostRequirements
+    return Step(
+        name=step.name,
+        tasks=len(space) if space else 1,
+        depends_on=tuple(d.dependsOn for d in step.dependencies or ()),
+        amounts=tuple(Amount(a.name.lower(), a.min, a.max) for a in (asked and asked.amounts) or ()),
+        attributes=tuple(
+            Attribute(a.name.lower(), tuple(a.anyOf or ()), tuple(a.allOf or ()))
+            for a in (asked and asked.attributes) or ()
+        ),
+        parameters=lambda index: {n: str(v.value) for n, v in space[index].items()} if space else {},
+    )
--- a/kelpjunction/wire/users.py
+++ b/kelpjunction/wire/users.py
@@ -122,6 +122,21 @@
     )
 
 
+def submission(spec: JobSpec) -> dict:
+    """A job as its user submits it: what `parse_job` makes this job of again."""
+    return {
+        "ref": spec.ref, "stripe": spec.klass, "crew": spec.team,
+        "shape": next(name for name, known in _SHAPES.items() if known is spec.shape),
+        "urgency": next(name for name, known in _PRIORITIES.items() if known is spec.priority),
+        "fronds": spec.tasks, "cpus": spec.cpus, "accelerators": spec.gpus, "ram_gb": spec.memory,
+        "bundle": spec.image, "image_gb": spec.image_gb,
+        "hulls": None if spec.types is None else list(spec.types), "bay": spec.zone, "together": spec.one_zone,
+        "apart": spec.spread, "driftwood": spec.spot, "expect_s": spec.estimate.total_seconds(),
+        "mark_s": spec.checkpoint.total_seconds(), "stow_s": spec.save.total_seconds(),
+        "due_s": None if spec.deadline is None else spec.deadline.total_seconds(),
+    }  # fmt: skip
+
+
 _KEPT = frozenset(
     {"ref", "stripe", "crew", "shape", "urgency", "fronds", "cpus", "accelerators", "ram_gb", "bundle"}
     | {"image_gb", "hulls", "bay", "together", "apart", "driftwood", "expect_s", "mark_s", "stow_s", "due_s"}
