Gangs of a busy fleet cost less: machines that could never hold one are not looked at

Only machines whose type fits are looked at for a gang that waits; a gang that needs what a smaller one found no room for is not tried again in the same round; offers are listed once for jobs that need the same. A node that holds no block and does not lead opens its watches at most five times a second.

--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -41,6 +41,7 @@
 GC_THRESHOLDS = (20_000, 20, 50)
 PEER_EVERY = timedelta(seconds=1)
 KEEP_EVERY = timedelta(seconds=1)
+IDLE_FOLLOW = timedelta(milliseconds=200)  # between two watches of a node that holds no block and does not lead
 REQUEST_SHARE = 0.3
 WRITE_SHARE = 0.6  # of the store's rate of changes: the leader needs more than a third, seldom all nodes at once
 
@@ -158,6 +159,11 @@
         self.holding.gain(zone)
         self.watch.gain(zone)
 
+    @property
+    def busy(self) -> bool:
+        """Whether this node leads or holds a block."""
+        return self.leadership.reign is not None or bool(self.blocks.my_zones())
+
     def follow(self) -> bool:
         """Take in the next changes of the live keys; False if the state service was of no use."""
         try:
@@ -298,6 +304,10 @@
         began = self._clock.steady()
         heard = self.node.follow()
         least = seconds(1 / self.node.request_rate) if heard else PAUSE_AFTER_TROUBLE
+        if heard and not self.node.busy:
+            # Nothing is decided here: its share of the requests is left to
+            # those that hold blocks.
+            least = max(least, IDLE_FOLLOW)
         sleep(max(ZERO, began + least - self._clock.steady()) if heard else least)
 
     def _lead(self) -> None:
--- a/kelpjunction/fleet/demand.py
+++ b/kelpjunction/fleet/demand.py
@@ -80,9 +80,13 @@
     """
     left_of = {name: float(count) for name, count in coming.items()}
     lacks: dict[tuple[Offer, ...], _Lack] = {}
+    known: dict[tuple, list[Offer]] = {}  # offers by what a job needs: many need the same
     for want in wants:
         spec, left = want.spec, float(want.tasks)
-        choices = offers(want, catalog)
+        needs = (spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory, want.budget)
+        choices = known.get(needs)
+        if choices is None:
+            choices = known[needs] = offers(want, catalog)
         for name in dict.fromkeys(o.type for o in choices):
             slots = slots_on(spec, catalog[name])
             used = min(left_of.get(name, 0.0), left / slots)
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -17,7 +17,7 @@
 from kelpjunction.jobs.blame import Blame
 from kelpjunction.jobs.book import CHUNK, SUM_PREFIX, Book, Handed, Job, Phase, Placement, ranges
 from kelpjunction.jobs.records import Records, run_key
-from kelpjunction.jobs.views import Views, able_for, cached, emptied, spread_of, stoppable, view_of
+from kelpjunction.jobs.views import Views, able_for, cached, emptied, fitting, spread_of, stoppable, view_of
 from kelpjunction.placement import Victim, View, make_room, place, place_gang
 from kelpjunction.queue import Rights, Waiting, in_order
 from kelpjunction.settings import Operators, Platform
@@ -301,7 +301,8 @@
             attempt = max(c.next_attempt for c in job.chunks.values())
             return [(task, view, attempt) for (task, _), view in zip(ours, chosen, strict=True)], []
         # Nothing below it in the order starts on the machines picked for it.
-        held = place_gang(spec, [emptied(v, self._on(v)) for v in able if v.zone in zones]) or []
+        fit = fitting(spec, (v for v in able if v.zone in zones))
+        held = place_gang(spec, [emptied(v, self._on(v)) for v in fit]) or []
         names = {v.name for v in held}
         for view in views:
             if view.name in names:
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -19,7 +19,7 @@
 from kelpjunction.jobs.book import CHUNK, RUN_PREFIX, Book, Chunk, Job
 from kelpjunction.jobs.holding import weight_of
 from kelpjunction.jobs.records import Records, run_key
-from kelpjunction.jobs.views import Views, able_for, emptied, spread_of, stoppable, view_of
+from kelpjunction.jobs.views import Views, able_for, emptied, fitting, spread_of, stoppable, view_of
 from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
 from kelpjunction.placement import Victim, View, allowed, make_room, place, place_gang, type_fits
 from kelpjunction.queue import Claim, Rights, Usage, Waiting, in_order, shares
@@ -162,6 +162,7 @@
         lacking: set[JobSpec] = set()  # what waits without room ahead of guests
         left_over: dict[int, list[View]] = {0: views}
         full: set[tuple] = set()
+        too_large: dict[tuple, int] = {}
         for ref in order:
             job = self._book.jobs[ref]
             tries = self._blame.may_try(job)
@@ -174,7 +175,7 @@
                 left_over[len(lacking)] = _left_over(views, lacking)
             seen = left_over[len(lacking)] if guest else views
             if job.spec.shape is Shape.GANG:
-                left = self._hand_gang(job, seen, usage, txns, at_top=not topped and tries is None)
+                left = self._hand_gang(job, seen, usage, txns, too_large, at_top=not topped and tries is None)
                 topped = topped or (left > 0 and tries is None)
             else:
                 left = self._hand_tasks(job, seen, usage, txns, full, tries)
@@ -249,16 +250,33 @@
         last = (self._handed_at.get(t) for t in tasks)
         return {zone for zone, at in (h for h in last if h) if now - at < REFUSED_FOR}
 
-    def _hand_gang(self, job: Job, views: list[View], usage: Usage, txns: list[Transaction], at_top: bool) -> int:
-        """Hand over a whole gang or nothing; returns how many tasks found no room."""
+    def _hand_gang(
+        self,
+        job: Job,
+        views: list[View],
+        usage: Usage,
+        txns: list[Transaction],
+        too_large: dict[tuple, int],
+        at_top: bool,
+    ) -> int:
+        """Hand over a whole gang or nothing; returns how many tasks found no room.
+
+        `too_large` has the least gangs that found no room earlier in this
+        round, by what a task needs: a larger one that needs the same finds none.
+        """
         spec = job.spec
+        needs = (self._rights.guest(spec), spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory)
+        needs = (*needs, spec.one_zone, spec.spread)
         if job.waiting_count() < spec.tasks:
             return 0
         if usage.room(spec.team, spec.cpus, spec.gpus, spec.tasks) < spec.tasks:
             self._why(job, "its team is at its limit")
             return 0
-        chosen = place_gang(spec, able_for(job, views))
+        known = spec.tasks >= too_large.get(needs, spec.tasks + 1)
+        chosen = None if known else place_gang(spec, able_for(job, views))
         if chosen is None:
+            if not job.failed_on:
+                too_large[needs] = min(spec.tasks, too_large.get(needs, spec.tasks))
             self._why(job, "the gang does not fit whole")
             if at_top:
                 self._hold_for(job, views, usage, txns)
@@ -282,7 +300,8 @@
         Nothing below it in the order goes to the machines picked for it.
         """
         spec = job.spec
-        picked = place_gang(spec, [emptied(v, self._on(v)) for v in sorted(views, key=lambda v: v.tasks)])
+        fit = sorted(fitting(spec, views), key=lambda v: v.tasks)
+        picked = place_gang(spec, [emptied(v, self._on(v)) for v in fit])
         if picked is None:
             return
         names = {v.name for v in picked}
--- a/kelpjunction/jobs/views.py
+++ b/kelpjunction/jobs/views.py
@@ -7,7 +7,7 @@
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.fleet.machines import Machine
 from kelpjunction.jobs.book import Book, Job, Load, Placement
-from kelpjunction.placement import Victim, View, allowed, type_fits
+from kelpjunction.placement import SLACK, Victim, View, allowed, type_fits
 from kelpjunction.queue import Rights
 from kelpjunction.wire.messages import JobSpec, MachineType, Shape
 
@@ -104,6 +104,20 @@
     return view
 
 
+def fitting(spec: JobSpec, views: Iterable[View]) -> list[View]:
+    """The machines that could run a task of the job if nothing stood on them."""
+    cpus, gpus = spec.cpus - SLACK, spec.gpus - SLACK
+    # Of a large fleet few types are right for a gang: these two rule out most.
+    return [
+        v
+        for v in views
+        if v.type.cpus >= cpus
+        and v.type.gpus >= gpus
+        and allowed(spec, v.type, v.zone, v.spot)
+        and type_fits(spec, v.type)
+    ]
+
+
 def able_for(job: Job, views: list[View]) -> list[View]:
     """The machines where no task of the job has failed, or all of them if it failed on each."""
     if not job.failed_on:
