--- a/kelpjunction/lab/standins.py
+++ b/kelpjunction/lab/standins.py
@@ -79,6 +79,7 @@
 
     def _commit(self, body: dict) -> Reply:
         assert len(body.get("then", ())) <= 12
+        assert len(orjson.dumps(body)) <= 64 * 1024
         assert len(body["guards"]) <= 48
         failed = [g["key"] for g in body["guards"] if self.data.get(g["key"], (0, 0))[1] != g["stamp"]]
         if failed:
--- a/kelpjunction/ledger/keeper.py
+++ b/kelpjunction/ledger/keeper.py
@@ -36,6 +36,7 @@
 from kelpjunction.store.client import Ending, Haste, StoreClient
 from kelpjunction.store.mirror import Mirror
 from kelpjunction.transport import Transport
+from kelpjunction.wire.state import MAX_TXN_BYTES
 
 log = logging.getLogger("ledger")
 
@@ -200,25 +201,29 @@
     # -- closing --------------------------------------------------------------------
 
     def step(self) -> None:
-        """Close what is due; raises `StoreDown`."""
-        if self._reign is None or self._mirror.revision is None or self._clock.steady() < self._next_at:
+        """Close what is due; raises `StoreDown`.
+
+        The reign may end while this waits for an answer: what it then still
+        writes fails by the guards.
+        """
+        reign = self._reign
+        if reign is None or self._mirror.revision is None or self._clock.steady() < self._next_at:
             return
         if self.state is Keeping.READING:
             self._read()
         at = (self._clock.utc() - EPOCH) // MILLISECOND
         if self._head.policy != self._policy:
             number = self._head.number + 1
-            entry = settings_entry(number, self._head.hash, at, self._policy, self._by)
-            self._write([entry], {}, self._head.revision)
+            entry = settings_entry(number, self._head.hash, at, self._policy, self._by(reign))
+            self._write(reign, [entry], {}, self._head.revision)
         elif self._book.metered or self._mirror.revision != self._looked:
             self._next_at = self._clock.steady() + min(self._period, LOOK_EVERY)
-            self._close(at)
+            self._close(reign, at)
 
-    @property
-    def _by(self) -> str:
-        return f"{self._node} term {self._reign.term}"
+    def _by(self, reign: Reign) -> str:
+        return f"{self._node} term {reign.term}"
 
-    def _close(self, at: int) -> None:
+    def _close(self, reign: Reign, at: int) -> None:
         revision = self._mirror.revision
         open_ = self._open(at)
         ended = self._read_ended()
@@ -234,13 +239,13 @@
             old = self._pages.get(page_number) or Page(0, self._head.revision, {})
             page, rows = close(old, at, revision, {n: now[n] for n in names if n in now}, self._policy, self._teams)
             number += 1
-            entries.append(closing_entry(number, previous, page_number, old.at, page, rows, self._by))
+            entries.append(closing_entry(number, previous, page_number, old.at, page, rows, self._by(reign)))
             previous = entries[-1]["hash"]
             pages[page_number] = page
         closed = {name for page in pages.values() for name in page.balances}
         left = [e.revision - 1 for e in ended.values() if e.team not in closed and not self._charged(e)]
         # Up to here every ended job is charged once these pages are closed.
-        self._write(entries, pages, min([revision, *left]))
+        self._write(reign, entries, pages, min([revision, *left]))
 
     def _charged(self, ended: Ended) -> bool:
         page = self._pages.get(self._page_of.get(ended.team, -1))
@@ -299,7 +304,9 @@
             if moved and (late or at - page.at >= self._period // MILLISECOND):
                 names[number] = list(page.balances)
         new = sorted(name for name in now if name not in self._page_of and any(map(any, now[name])))
-        most = max(1, (self._store.limits.txn_ops - 1) // 2)
+        # A page and its entry are two changes, each at most a value's size.
+        limits = self._store.limits
+        most = max(1, min((limits.txn_ops - 1) // 2, MAX_TXN_BYTES // (2 * limits.value_bytes)))
         oldest = sorted(names, key=lambda n: self._pages[n].at)[:most]
         chosen = {number: names[number] for number in oldest}
         for name in new:
@@ -322,13 +329,13 @@
             self._told_behind = True
             log.info("this node's time of day is %d ms behind the ledger's last entry: it is closed later", by)
 
-    def _write(self, entries: list[dict], pages: Mapping[int, Page], revision: int) -> None:
+    def _write(self, reign: Reign, entries: list[dict], pages: Mapping[int, Page], revision: int) -> None:
         """Add entries to the chain and put their pages in force, in one transaction."""
         head = Head(entries[-1]["n"], entries[-1]["hash"], revision, self._policy)
         puts: dict[str, Any] = {entry_key(e["n"]): e for e in entries}
         puts |= {page_key(number): page.record() for number, page in pages.items()}
         puts[HEAD_KEY] = head.record()
-        guards = {LEAD_KEY: self._reign.lead_version, HEAD_KEY: self._version}
+        guards = {LEAD_KEY: reign.lead_version, HEAD_KEY: self._version}
         outcome = self._store.commit(guards, puts, haste=Haste.TURN)
         self._next_at = self._clock.steady() + seconds(len(puts) / CHANGES_A_SECOND)
         self._looked = 0  # pages may be left that are due
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -282,6 +282,33 @@
     assert_equal(world, account)
 
 
+def test_a_reign_that_ends_while_a_closing_waits_for_an_answer_writes_nothing():
+    """As rounds did once (inc-7d2c): what was begun under a reign goes on with it, and fails by its guards."""
+    world, account = ledgered()
+    submit(world, run_s=20.0)
+    leader = world.leader()
+    ended = leader.keeper._read_ended
+
+    def superseded() -> dict:
+        found = ended()
+        leader.leadership.step = lambda: None
+        leader.keeper.end()
+        return found
+
+    leader.keeper._read_ended = superseded
+    before = [e["n"] for e in entries(world)]
+    world.run(3)
+    leader.keeper._read_ended = ended
+    assert leader.keeper.state is keeper.Keeping.AWAY
+    world.kill_node(leader.platform.node)
+    world.run(6)
+    numbers = [e["n"] for e in entries(world)]
+    assert numbers == list(range(1, len(numbers) + 1))
+    assert len(numbers) > len(before)
+    world.start_node(leader.platform.node)
+    assert_equal(world, account)
+
+
 def test_superseded_leader_that_stood_still_closes_nothing():
     world, account = ledgered()
     submit(world, run_s=25.0)
