--- a/kelpjunction/cli/__init__.py
+++ b/kelpjunction/cli/__init__.py
@@ -9,7 +9,9 @@
 from kelpjunction import __version__
 from kelpjunction.cli.jobs import job
 from kelpjunction.cli.lab import lab
+from kelpjunction.cli.ledger import ledger
 from kelpjunction.cli.serve import check, serve
+from kelpjunction.cli.ticket import ticket
 
 
 @click.group()
@@ -24,5 +26,5 @@
     """
 
 
-for command in (serve, check, job, lab):
+for command in (serve, check, job, lab, ledger, ticket):
     main.add_command(command)
--- a/kelpjunction/http.py
+++ b/kelpjunction/http.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import Callable, Iterable
 from datetime import timedelta
+from typing import TYPE_CHECKING
 
 import orjson
 from gevent.pywsgi import WSGIHandler
@@ -13,6 +14,9 @@
 from kelpjunction.wire import users, workers
 from kelpjunction.wire.users import Malformed
 
+if TYPE_CHECKING:
+    from kelpjunction.metrics import Metrics
+
 log = logging.getLogger("http")
 
 _REASONS = {
@@ -27,6 +31,7 @@
     503: "503 Service Unavailable",
 }
 PEER_PATH = "/peer"
+METRICS_PATH = "/metrics"
 
 
 def _respond(start_response: Callable, answer: Answer) -> Iterable[bytes]:
@@ -55,8 +60,71 @@
     return body
 
 
+class Headers(dict):
+    """A request's headers by lower-case name, as `WSGIHandler` asks for them.
+
+    The standard library's are e-mail messages, whose parser takes most of the
+    time that an exchange of a few hundred bytes costs.  What that one lets
+    pass is refused here: a line that continues the one before, a name with a
+    space, two lengths that differ.
+    """
+
+    MOST_BYTES = 16_384
+    status = ""
+
+    @classmethod
+    def read(cls, stream, *_) -> "Headers":
+        """Read to the empty line; `status` tells what is wrong with them, if anything is."""
+        headers = cls()
+        left = cls.MOST_BYTES
+        while line := stream.readline(left):
+            left -= len(line)
+            if line in (b"\r\n", b"\n"):
+                return headers
+            name, colon, value = line.decode("latin-1").partition(":")
+            name, value = name.lower(), value.strip()
+            if not colon or not name or name.split() != [name] or name[0].isspace():
+                headers.status = "malformed header"
+            elif name not in headers:
+                headers[name] = value
+            elif name == "content-length" and headers[name] != value:
+                headers.status = "two lengths"
+            elif name != "content-length":
+                headers[name] += f",{value}"
+        headers.status = "headers without end" if left > 0 else "headers too long"
+        return headers
+
+    def get(self, name: str, default=None):
+        return super().get(name.lower(), default)
+
+    getheader = get
+
+    @property
+    def typeheader(self) -> str | None:
+        return self.get("content-type")
+
+
 class Handler(WSGIHandler):
-    """One connection.  There is no access log, so its lines are not put together either."""
+    """One connection, with what `WSGIHandler` does for each request cut to what this service needs.
+
+    There is no access log, so its lines are not put together either; headers
+    are read by `Headers`; and an answer leaves in one piece, since each send
+    is a call and a packet.
+    """
+
+    def MessageClass(self, *args) -> Headers:
+        return Headers.read(*args)
+
+    def _headers(self) -> Iterable[tuple[str, str]]:
+        for name, value in self.headers.items():
+            if name not in ("content-type", "content-length") and "_" not in name:
+                yield f"HTTP_{name.upper().replace('-', '_')}", value
+
+    def _write_with_headers(self, data: bytes) -> None:
+        self.headers_sent = True
+        self.finalize_headers()
+        lines = [b"HTTP/1.1 " + self.status, *(b"%s: %s" % pair for pair in self.response_headers)]
+        self._sendall(b"\r\n".join((*lines, b"", data)))
 
     def log_request(self) -> None:
         pass
@@ -103,12 +171,19 @@
 
 
 class PeerApplication:
-    """What siblings may ask: whether this node hears the state service."""
+    """What siblings may ask, whether this node hears the state service; and its metrics, if there are any."""
 
-    def __init__(self, intake: Intake) -> None:
+    def __init__(self, intake: Intake, metrics: "Metrics | None" = None) -> None:
         self._intake = intake
+        self._metrics = metrics
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        if environ["PATH_INFO"] == METRICS_PATH and self._metrics is not None:
+            text = self._metrics.text()
+            start_response(
+                _REASONS[200], [("Content-Type", self._metrics.content_type), ("Content-Length", str(len(text)))]
+            )
+            return [text]
         if environ["PATH_INFO"] != PEER_PATH:
             return _respond(start_response, Answer(404, b"{}"))
         return _respond(start_response, Answer(200, orjson.dumps({"fresh": self._intake.fresh})))
--- a/kelpjunction/store/client.py
+++ b/kelpjunction/store/client.py
@@ -22,8 +22,9 @@
 log = logging.getLogger("store")
 
 PAGE = 1000
-TRIES = 3
-REFUSED_PAUSE = timedelta(milliseconds=150)
+# Pauses after refusals.  The service's rate comes back a change at a time and
+# all nodes want it: a few close tries find room more often than a late one.
+REFUSED_PAUSES = tuple(timedelta(milliseconds=ms) for ms in (40, 60, 90, 130, 180))
 
 
 class StoreDown(Exception):
@@ -138,7 +139,7 @@
     def refused(self) -> None:
         """The service had no room: all nodes together ask for too much."""
         self._pass_time()
-        self.rate = max(self._most * self.LEAST, self.rate * 0.8)
+        self.rate = max(self._most * self.LEAST, self.rate * 0.9)
 
 
 class StoreClient:
@@ -155,6 +156,8 @@
         self.limits = limits
         self.service = Service.ANSWERING
         self.heard_at = clock.steady()
+        self.requests = 0  # sent since this process began
+        self.refusals = 0  # of those, answered 429
 
     # -- reading ------------------------------------------------------------
 
@@ -190,6 +193,7 @@
         Takes a transport of its own: a watch holds its connection.
         """
         path = wire.follow_path(prefix, since, round(wait.total_seconds() * 1000))
+        self.requests += 1
         try:
             reply = transport.request(self._address, "GET", path, None, wait + timedelta(seconds=3))
         except NoAnswer as error:
@@ -215,17 +219,19 @@
         ops = len(puts or {}) + len(deletes)
         if ops and (delay := self._writes.delay(ops, haste)):
             self._sleep(delay)
-        for _ in range(TRIES):
+        for pause in (*REFUSED_PAUSES, None):
             outcome = self._commit_once(body, timeout)
             if outcome is not None:
                 return outcome
             # Too many requests: it was certainly not applied.
             self._writes.refused()
-            self._sleep(REFUSED_PAUSE)
+            if pause is not None:
+                self._sleep(pause)
         return Outcome(Ending.REFUSED)
 
     def _commit_once(self, body: bytes, timeout: timedelta) -> Outcome | None:
         """Send a transaction; None if the service had no room for the request."""
+        self.requests += 1
         try:
             reply = self._transport.request(self._address, "POST", wire.COMMIT_PATH, body, timeout)
         except NoAnswer as error:
@@ -241,6 +247,7 @@
             self._note(True)
             return Outcome(Ending.CONFLICT, failed=wire.parse_failed(reply.fields))
         if reply.status == 429:
+            self.refusals += 1
             self._note(True)
             return None
         if reply.status in (400, 503):
@@ -275,6 +282,7 @@
     # -- what is known of the service ---------------------------------------
 
     def _ask(self, method: str, path: str, body: bytes | None, timeout: timedelta) -> Reply:
+        self.requests += 1
         try:
             reply = self._transport.request(self._address, method, path, body, timeout)
         except NoAnswer as error:
@@ -284,6 +292,7 @@
 
     def _checked(self, reply: Reply) -> Reply:
         if reply.status in (429, 503) or reply.status >= 500:
+            self.refusals += reply.status == 429
             self._note(reply.status == 429, f"status {reply.status}")
             raise StoreDown(f"status {reply.status}")
         self._note(True)
