--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -423,6 +423,20 @@
     assert faded[-1] > used
 
 
+def test_weights_and_half_life_that_change_while_tasks_run_are_an_entry_and_lose_nothing():
+    """Amounts are kept by resource, so that what is open is not weighed anew with other weights."""
+    world, account = ledgered()
+    submit(world, tasks=6, run_s=25.0)
+    assert world.run(10, lambda: len(entries(world)) >= 3)
+    weights = {"cpu": 3.0, "accelerator": 10.0, "memory_gb": 0.5}
+    world.operators = operators(period=timedelta(seconds=2), half_life=timedelta(hours=1), weights=weights)
+    world.fault("kill", "all", 1)
+    books = assert_equal(world, account)
+    said = [e["policy"] for e in books.entries if e["kind"] == "settings"]
+    assert [policy["weights"] for policy in said] == [[1000, 10_000, 0], [3000, 10_000, 500]]
+    assert [policy["half_life"] for policy in said] == [WEEK, 3_600_000]
+
+
 def test_nothing_is_written_while_nothing_runs_and_nobody_waits():
     world, account = ledgered()
     submit(world, run_s=4.0)
