--- a/kelpjunction/ledger/keeper.py
+++ b/kelpjunction/ledger/keeper.py
@@ -95,7 +95,7 @@
 
 
 class Keeper:
-    """Keeps the ledger while this node leads, and follows it while another does."""
+    """Keeps the ledger while this node leads; which factors hold is known to whoever leads."""
 
     def __init__(
         self,
