--- a/kelpjunction/cli/ledger.py
+++ b/kelpjunction/cli/ledger.py
@@ -18,12 +18,18 @@
 SHARE = 0.1  # of the state service's rate of changes that a command may take
 
 
-def _source(command: Callable) -> Callable:
-    """The options that say where the ledger is."""
-    file = click.option("--file", type=click.Path(path_type=Path), help="An exported ledger (Parquet).")
+def _service(command: Callable) -> Callable:
+    """The options that say which state service is meant."""
     state = click.option("--state", default=LAB_STATE, show_default=True, help="The state service's address.")
     config = click.option("--config", type=click.Path(), help="The platform's settings: its state service, its limits.")
-    return file(state(config(command)))
+    return state(config(command))
+
+
+def _source(command: Callable) -> Callable:
+    """The options that say where the ledger is."""
+    return click.option("--file", type=click.Path(path_type=Path), help="An exported ledger (Parquet).")(
+        _service(command)
+    )
 
 
 def _fail(code: int, why: object) -> None:
@@ -95,17 +101,16 @@
 @click.option("--json", "as_json", is_flag=True, help="Print it as JSON.")
 def show(file: Path | None, state: str, config: str | None, as_json: bool) -> None:
     """Print each team's usage and factor as of the last entry."""
-    from kelpjunction.ledger.accounts import total
+    from kelpjunction.ledger.accounts import HOUR, total
     from kelpjunction.ledger.audit import replay
     from kelpjunction.ledger.fading import ONE
 
     books = _books(file, state, config)
     done, sums = replay(books.base, books.entries), total(books.entries)
-    hour = 3600 * 1000 * 1000
     teams = {
         name: {
-            "cpu_hours": sums[name].cpus / hour if name in sums else 0.0,
-            "accelerator_hours": sums[name].gpus / hour if name in sums else 0.0,
+            "cpu_hours": sums[name].cpus / HOUR if name in sums else 0.0,
+            "accelerator_hours": sums[name].gpus / HOUR if name in sums else 0.0,
             "faded": balance.faded,
             "factor": balance.factor / ONE,
         }
@@ -159,8 +164,7 @@
 @ledger.command()
 @click.argument("target", type=click.Path(path_type=Path, dir_okay=False))
 @click.option("--through", type=click.IntRange(1), help="The last entry to archive; all that there are if left out.")
-@click.option("--state", default=LAB_STATE, show_default=True, help="The state service's address.")
-@click.option("--config", type=click.Path(), help="The platform's settings: its state service, its limits.")
+@_service
 def archive(target: Path, through: int | None, state: str, config: str | None) -> None:
     """Move entries from the state service to TARGET (Parquet); the balances they led to stay.
 
--- a/kelpjunction/clock.py
+++ b/kelpjunction/clock.py
@@ -13,6 +13,7 @@
 log = logging.getLogger("clock")
 
 ZERO = timedelta()
+MILLISECOND = timedelta(milliseconds=1)
 BEAT = timedelta(milliseconds=250)
 ABSENT_AFTER = timedelta(seconds=2)
 
--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -107,7 +107,7 @@
         """
         spec = job.spec
         cheap_only = spare or (self._rights.leftover(spec) and self._clock.utc() - job.submitted < PATIENCE)
-        key = (spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory)
+        key = spec.needs
         catalog = self.catalog
         if self._cheapest[0] is not catalog:
             self._cheapest = (catalog, {})
--- a/kelpjunction/fleet/demand.py
+++ b/kelpjunction/fleet/demand.py
@@ -83,7 +83,7 @@
     known: dict[tuple, list[Offer]] = {}  # offers by what a job needs: many need the same
     for want in wants:
         spec, left = want.spec, float(want.tasks)
-        needs = (spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory, want.budget)
+        needs = (spec.needs, want.budget)
         choices = known.get(needs)
         if choices is None:
             choices = known[needs] = offers(want, catalog)
--- a/kelpjunction/jobs/book.py
+++ b/kelpjunction/jobs/book.py
@@ -23,7 +23,7 @@
 from sortedcontainers import SortedKeyList
 
 from kelpjunction.changes import Changes
-from kelpjunction.clock import ZERO
+from kelpjunction.clock import MILLISECOND, ZERO
 from kelpjunction.wire.messages import Cause, JobPhase, JobSpec, Shape, TaskId
 from kelpjunction.wire.users import job_from_fields
 
@@ -32,7 +32,6 @@
 SUM_PREFIX = "l/sum/"
 END_PREFIX = "e/"
 CHUNK = 64
-MILLISECOND = timedelta(milliseconds=1)
 MOST_FAILED_ON = 8  # machines a chunk's record names: enough to tell a wrong job by
 
 
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -228,7 +228,7 @@
             self._why(job, "its team is at its limit")
             return 0
         tasks: list[TaskId] = []
-        needs = (self._rights.guest(spec), spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory)
+        needs = (self._rights.guest(spec), *spec.needs)
         chosen: list[View] = []
         if needs not in full:
             tasks = job.waiting(room)
@@ -265,8 +265,7 @@
         round, by what a task needs: a larger one that needs the same finds none.
         """
         spec = job.spec
-        needs = (self._rights.guest(spec), spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory)
-        needs = (*needs, spec.one_zone, spec.spread)
+        needs = (self._rights.guest(spec), *spec.needs, spec.one_zone, spec.spread)
         if job.waiting_count() < spec.tasks:
             return 0
         if usage.room(spec.team, spec.cpus, spec.gpus, spec.tasks) < spec.tasks:
@@ -404,8 +403,7 @@
         barren: set[tuple] = set()  # needs for which stopping others makes no room
         for job, count in pressing:
             spec = job.spec
-            needs = (spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory, spec.priority, spec.shape)
-            needs = (*needs, self._rights.leftover(spec))
+            needs = (*spec.needs, spec.priority, spec.shape, self._rights.leftover(spec))
             if needs in barren:
                 continue
             zones, _ = spread_of(job)
@@ -453,5 +451,5 @@
     A guest's small tasks would fill each gap as it opens, so that the room
     for a larger one of others never came together.
     """
-    needs = {(s.types, s.zone, s.spot, s.cpus, s.gpus, s.memory): s for s in lacking}.values()
+    needs = {s.needs: s for s in lacking}.values()
     return [v for v in views if not any(allowed(s, v.type, v.zone, v.spot) and type_fits(s, v.type) for s in needs)]
--- a/kelpjunction/jobs/views.py
+++ b/kelpjunction/jobs/views.py
@@ -44,7 +44,7 @@
 
     def fresh(self) -> Iterable[View]:
         """The views of all machines that can take work, none with anything left of an earlier round."""
-        basis = (self._fleet.catalog, [_need(spec) for spec in self._fleet.scarce])
+        basis = (self._fleet.catalog, [spec.needs for spec in self._fleet.scarce])
         if basis != self._basis:
             # What is kept free for others on a machine hangs on these.
             self._basis = basis
@@ -61,10 +61,6 @@
         return self._views.values()
 
 
-def _need(spec: JobSpec) -> tuple:
-    return spec.types, spec.zone, spec.spot, spec.cpus, spec.gpus, spec.memory
-
-
 def stoppable(
     book: Book, rights: Rights, for_: Iterable[JobSpec], victim: Callable[[Placement], Victim | None]
 ) -> dict[str, list[Victim]]:
--- a/kelpjunction/lab/account.py
+++ b/kelpjunction/lab/account.py
@@ -1,9 +1,11 @@
 """The rig's own account of what ran: from the state service's commits and its clock, by none of the nodes' sums."""
 
 from collections import Counter
-from datetime import UTC, datetime, timedelta
+from datetime import UTC, datetime
 
+from kelpjunction.clock import MILLISECOND
 from kelpjunction.lab.standins import StoreStandIn
+from kelpjunction.ledger.accounts import Amounts, held
 from kelpjunction.wire.users import job_from_fields
 
 _JOB, _RUN, _END = "l/job/", "l/run/", "e/"
@@ -50,7 +52,14 @@
         self.held[size] += self._age(ref) - self._rows[ref].pop(row)
 
     def _age(self, ref: str) -> int:
-        return (self._clock.utc() - datetime.fromtimestamp(self._jobs[ref][1], UTC)) // timedelta(milliseconds=1)
+        return (self._clock.utc() - datetime.fromtimestamp(self._jobs[ref][1], UTC)) // MILLISECOND
+
+    def by_team(self) -> dict[str, Amounts]:
+        """What each team's tasks held, for each resource, as the ledger counts it."""
+        sums: dict[str, Amounts] = {}
+        for (team, *size), ms in self.held.items():
+            sums[team] = sums.get(team, Amounts()) + held(*size, ms)
+        return sums
 
     def left(self) -> int:
         """How many rows still hold a place."""
--- a/kelpjunction/lab/weeks.py
+++ b/kelpjunction/lab/weeks.py
@@ -12,7 +12,7 @@
 
 from kelpjunction.lab.account import Account
 from kelpjunction.lab.world import STORE, Node, World
-from kelpjunction.ledger.accounts import Amounts, held, rows_of, total
+from kelpjunction.ledger.accounts import Amounts, rows_of, total
 from kelpjunction.ledger.audit import Replayed, audit
 from kelpjunction.ledger.fading import ONE
 from kelpjunction.ledger.reader import Books, read
@@ -71,7 +71,6 @@
             seed=seed, machines=12, capacity=12, teams=TEAMS, operators=self.operators, day_speed=day_speed
         )
         self._length = length
-        self._day_speed = day_speed
         self._random = self.world.random
         self._began = self.world.clock.utc()
         self._refs: dict[str, list[str]] = {t.name: [] for t in TEAMS}
@@ -185,9 +184,6 @@
     def _proof(self) -> Proof:
         world = self.world
         books = read(next(node.store for node in world.nodes.values() if node is not None))
-        account: dict[str, Amounts] = {}
-        for (team, *size), ms in self.account.held.items():
-            account[team] = account.get(team, Amounts()) + held(*size, ms)
         sums = {team: amounts for team, amounts in total(books.entries).items() if any(amounts)}
         factors = {0: {}}
         for entry in books.entries:
@@ -196,7 +192,7 @@
                 now |= {team: row.factor / ONE for team, row in rows_of(entry).items()}
             factors[entry["n"]] = now
         wrong = [u for u in self._used if factors[u.entry].get(u.team, 1.0) != u.factor]
-        account = {team: amounts for team, amounts in account.items() if any(amounts)}
+        account = {team: amounts for team, amounts in self.account.by_team().items() if any(amounts)}
         return Proof(
             books, audit(books), sums, account, len(self._used), wrong, self.faults, len(world.starts), world.broken
         )
--- a/kelpjunction/ledger/accounts.py
+++ b/kelpjunction/ledger/accounts.py
@@ -10,16 +10,16 @@
 import hashlib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from datetime import timedelta
 from typing import NamedTuple
 
 import orjson
 
+from kelpjunction.clock import MILLISECOND
 from kelpjunction.ledger.fading import ONE, factor, fade
 from kelpjunction.settings import LedgerSettings, Team
 
 THOUSAND = 1000
-MILLISECOND = timedelta(milliseconds=1)
+HOUR = 3_600_000 * THOUSAND  # of one unit of a resource, as `Amounts` count it
 GENESIS = ""  # what the first entry follows
 ROW_BYTES = 160  # at most what a team's row takes in an entry or a page, beside its name
 PAGE_SHARE = 0.9  # of a value's limit that rows may take
--- a/kelpjunction/ledger/keeper.py
+++ b/kelpjunction/ledger/keeper.py
@@ -17,12 +17,11 @@
 from enum import Enum
 from typing import Any, NamedTuple
 
-from kelpjunction.clock import ZERO, Clock, seconds
+from kelpjunction.clock import MILLISECOND, ZERO, Clock, seconds
 from kelpjunction.jobs.book import END_PREFIX, Book
 from kelpjunction.leadership import LEAD_KEY, Reign
 from kelpjunction.ledger.accounts import (
     GENESIS,
-    MILLISECOND,
     Amounts,
     Page,
     Policy,
--- a/kelpjunction/ledger/report.py
+++ b/kelpjunction/ledger/report.py
@@ -9,13 +9,11 @@
 from jinja2 import Environment
 from matplotlib.figure import Figure
 
-from kelpjunction.ledger.accounts import Amounts, Policy, rows_of
+from kelpjunction.ledger.accounts import HOUR, Amounts, Policy, rows_of
 from kelpjunction.ledger.audit import Replayed
 from kelpjunction.ledger.fading import ONE, full_use
 from kelpjunction.ledger.reader import Books
 
-HOUR = 3_600_000 * 1000  # of one CPU, in thousandths times milliseconds
-
 _PAGE = Environment(autoescape=True).from_string(
     """<!doctype html>
 <html lang="en"><head><meta charset="utf-8"><title>Fair-share ledger</title>
--- a/kelpjunction/wire/messages.py
+++ b/kelpjunction/wire/messages.py
@@ -81,6 +81,11 @@
     save: timedelta
     deadline: timedelta | None
 
+    @property
+    def needs(self) -> tuple:
+        """What a task asks of its machine: jobs that need the same find room in the same places."""
+        return self.types, self.zone, self.spot, self.cpus, self.gpus, self.memory
+
 
 class TaskId(NamedTuple):
     """One task of a job."""
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -202,9 +202,7 @@
     world.run(15)
     books = reader.read(next(n.store for n in world.nodes.values() if n is not None))
     sums = total(books.entries)
-    own: dict[str, Amounts] = {}
-    for (team, *size), ms in account.held.items():
-        own[team] = own.get(team, Amounts()) + held(*size, ms)
+    own = account.by_team()
     assert own, "something must have run"
     assert sums == own
     assert audit(books).fault is None
@@ -534,7 +532,5 @@
     assert audit(rest).fault is None
     with pytest.raises(Malformed, match="were archived before"):
         reader.roll_up(store, base)
-    assert total(books.entries[:-1])["red"] + total(rest.entries)["red"] == sum(
-        (held(*size, ms) for (team, *size), ms in account.held.items() if team == "red"), Amounts()
-    )
+    assert total(books.entries[:-1])["red"] + total(rest.entries)["red"] == account.by_team()["red"]
     assert Balance() == Balance(Amounts(), 0, ONE)
