--- a/kelpjunction/cli/lab.py
+++ b/kelpjunction/cli/lab.py
@@ -41,6 +41,17 @@
         sys.exit(2)
 
 
+def _world(tickets: bool):
+    """The simulated world; with gateways where there are tickets, which takes more than a node has."""
+    if not tickets:
+        from kelpjunction.lab.world import World
+
+        return World
+    from kelpjunction.lab.farm import FarmWorld
+
+    return FarmWorld
+
+
 @click.group()
 def lab() -> None:
     """The whole service on this machine: nodes, and stand-ins for all they need."""
@@ -52,9 +63,12 @@
 @click.option("--machines", default=12, show_default=True, type=click.IntRange(1, 200))
 @click.option("--speed", default=1.0, show_default=True, type=click.FloatRange(0.1, 100), help="Of tasks and boots.")
 @click.option("--minutes", default=0.0, help="End by itself after this long; 0: only by Ctrl-C.")
+@click.option("--tickets", is_flag=True, help="Start a ticket gateway too, at the lab's first port and 90.")
 @_operators
 @_port
-def up(nodes: int, zones: int, machines: int, speed: float, minutes: float, operators: str | None, port: int) -> None:
+def up(
+    nodes: int, zones: int, machines: int, speed: float, minutes: float, tickets: bool, operators: str | None, port: int
+) -> None:
     """Bring the lab up and show it until Ctrl-C.
 
     \b
@@ -68,7 +82,7 @@
     from kelpjunction.lab.table import render
 
     _settings(operators)
-    site = _live(nodes, zones, machines, speed, port, 1, operators)
+    site = _live(nodes, zones, machines, speed, port, 1, operators, False, tickets)
     try:
         with Live(render(site.status()), refresh_per_second=2) as table:
             left = minutes * 60 or float("inf")
@@ -104,16 +118,17 @@
       kelpjunction lab run examples/demo.toml --simulated --json
     """
     from kelpjunction.lab.scenario import Player, ScenarioError, load
-    from kelpjunction.lab.world import Weather, World
+    from kelpjunction.lab.world import Weather
 
     site, tuning = None, _settings(operators)
     try:
         what = load(scenario)
         machines = what["machines"]
         if simulated:
-            site = World(seed, machines, 2 * machines, weather=Weather(), operators=tuning)
+            how = {"seed": seed, "machines": machines, "capacity": 2 * machines}
+            site = _world(bool(what["ticket"]))(**how, weather=Weather(), operators=tuning)
         else:
-            site = _live(3, 3, machines, speed, port, seed, operators)
+            site = _live(3, 3, machines, speed, port, seed, operators, False, bool(what["ticket"]))
         player = Player(site, what, lambda line: click.echo(line, err=True))
         well = player.play()
     except ScenarioError as error:
@@ -126,7 +141,7 @@
     if as_json:
         click.echo(orjson.dumps(summary, option=orjson.OPT_INDENT_2))
     else:
-        for ref, entry in summary["jobs"].items():
+        for ref, entry in (summary["jobs"] | summary["tickets"]).items():
             took = "" if entry["took_s"] is None else f" after {entry['took_s']} s"
             click.echo(f"{ref}: {entry['state']}{took}")
         click.echo(f"{summary['starts']} starts in {summary['lasted_s']} s")
--- a/kelpjunction/cli/ticket.py
+++ b/kelpjunction/cli/ticket.py
@@ -1,14 +1,48 @@
-"""`ticket check`: what a render-farm job ticket would become, before anything is submitted."""
+"""`ticket check|serve|submit|show|watch|cancel`: render-farm job tickets."""
 
+import os
 import sys
+import time
+from collections.abc import Callable
 from datetime import timedelta
 from pathlib import Path
 
 import click
 import orjson
 
+from kelpjunction.cli.jobs import POLL_EVERY, Caller
+from kelpjunction.transport import Reply
 from kelpjunction.wire import users
 
+DEFAULT_GATEWAYS = "127.0.0.1:18090"
+TICKETS_PATH = "/api/tickets"  # as `tickets.users` has it; a client needs nothing else of that
+
+_gateways = click.option(
+    "--gateways",
+    default=DEFAULT_GATEWAYS,
+    envvar="KELPJUNCTION_GATEWAYS",
+    show_default=True,
+    help="Addresses, tried in turn.",
+)
+_patience = click.option(
+    "--patience", default=60.0, show_default=True, type=click.FloatRange(0), help="Seconds to go on asking."
+)
+_json = click.option("--json", "as_json", is_flag=True, help="Print the answer as JSON.")
+
+
+def _asking(command: Callable) -> Callable:
+    """The options of every command that asks a gateway."""
+    return _gateways(_patience(_json(command)))
+
+
+def _fail(code: int, why: object) -> None:
+    click.echo(f"kelpjunction: {why}", err=True)
+    sys.exit(code)
+
+
+def _missing(error: ModuleNotFoundError) -> None:
+    _fail(2, f"{error.name} is not installed: pip install 'kelpjunction[tickets]'")
+
 
 @click.group()
 def ticket() -> None:
@@ -25,12 +59,21 @@
     return found
 
 
+def _content(command: Callable) -> Callable:
+    """The options that say what is to run, for whom."""
+    for option in (
+        click.option("--seconds", default=60.0, show_default=True, type=click.FloatRange(0), help="Of a task's run."),
+        click.option("--id", "ticket_id", help="The ticket's id; made of its content if left out."),
+        click.option("--team", default="red", show_default=True),
+        click.option("--parameter", "-p", "pairs", multiple=True, metavar="NAME=VALUE", help="A job parameter."),
+        click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path)),
+    ):  # fmt: skip
+        command = option(command)
+    return command
+
+
 @ticket.command()
-@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
-@click.option("--parameter", "-p", "pairs", multiple=True, metavar="NAME=VALUE", help="A job parameter's value.")
-@click.option("--team", default="red", show_default=True)
-@click.option("--id", "ticket_id", help="The ticket's id; made of its content if left out.")
-@click.option("--seconds", default=60.0, show_default=True, type=click.FloatRange(0), help="A task's expected run.")
+@_content
 @click.option("--json", "as_json", is_flag=True, help="Print the jobs as users submit them.")
 def check(file: Path, pairs: tuple[str, ...], team: str, ticket_id: str | None, seconds: float, as_json: bool) -> None:
     """Read FILE (YAML or JSON) and print the jobs it becomes; exit code 1 lists everything that is wrong with it.
@@ -42,12 +85,12 @@
     try:
         from kelpjunction.tickets import plan, wire
     except ModuleNotFoundError as error:
-        click.echo(f"kelpjunction: {error.name} is not installed: pip install 'kelpjunction[tickets]'", err=True)
-        sys.exit(2)
+        _missing(error)
     parameters = _parameters(pairs)
     order = plan.Order(team, estimate=timedelta(seconds=seconds))
     try:
-        name, steps, content = wire.read(file.read_bytes(), parameters)
+        content = wire.document_of(file.read_bytes())
+        name, steps = wire.resolve(content, parameters)
         made = plan.plan(ticket_id or plan.ticket_id([content, parameters, team]), name, steps, order)
     except plan.Refused as refused:
         for fault in refused.faults:
@@ -55,13 +98,142 @@
         sys.exit(1)
     if as_json:
         jobs = [
-            {"step": j.name, "after": j.depends_on, "job": users.fields_to_keep(users.submission(j.spec))}
+            {
+                "step": j.name,
+                "after": [made.jobs[i].name for i in j.after],
+                "job": users.fields_to_keep(users.submission(j.spec)),
+            }
             for j in made.jobs
         ]
         click.echo(orjson.dumps({"ticket": made.ticket, "name": made.name, "jobs": jobs}, option=orjson.OPT_INDENT_2))
         return
     click.echo(f"{made.ticket} {made.name}: {len(made.jobs)} steps, {made.tasks} tasks")
     for job in made.jobs:
-        after = f" after {', '.join(job.depends_on)}" if job.depends_on else ""
+        after = f" after {', '.join(made.jobs[i].name for i in job.after)}" if job.after else ""
         spec = job.spec
-        click.echo(f"  {job.name}: {job.ref}, {spec.tasks} x {spec.cpus:g} CPUs, {spec.memory:g} GB{after}")
+        click.echo(f"  {job.name}: {spec.ref}, {spec.tasks} x {spec.cpus:g} CPUs, {spec.memory:g} GB{after}")
+
+
+@ticket.command()
+@click.option("--config", required=True, type=click.Path(), help="A node's settings file (TOML): services and limits.")
+@click.option("--settings", required=True, type=click.Path(), help="The gateway's own settings (JSON).")
+@click.option("--check", "only_check", is_flag=True, help="Check both files and exit.")
+def serve(config: str, settings: str, only_check: bool) -> None:
+    """Run one ticket gateway until it is killed; docs/tickets.md has its page.
+
+    \b
+    Example:
+      kelpjunction ticket serve --config node.toml --settings examples/tickets.json
+    """
+    from kelpjunction import logs
+    from kelpjunction.settings import SettingsError, load_operators, load_platform
+    from kelpjunction.tickets.classes import load_tickets
+
+    try:
+        platform, operators, own = load_platform(config), load_operators(None), load_tickets(settings)
+    except SettingsError as error:
+        _fail(2, error)
+    if only_check:
+        click.echo(f"{own.name}: settings are valid")
+        return
+    try:
+        # Parsing is imported before anybody is served: it takes half a second.
+        from kelpjunction.tickets import wire  # noqa: F401
+        from kelpjunction.tickets.gateway import Daemon
+    except ModuleNotFoundError as error:
+        _missing(error)
+    daemon = Daemon(platform, operators, own)
+    try:
+        logs.set_up(os.environ.get("LOG_LEVEL", "info"), os.environ.get("LOG_FORMAT", "line"), own.name, daemon.term)
+    except ValueError as error:
+        _fail(2, error)
+    daemon.run_forever()
+
+
+def _print(reply: Reply, as_json: bool) -> None:
+    """Show an answer; exit code 1 if it is a refusal."""
+    fields = reply.fields
+    if as_json:
+        click.echo(orjson.dumps({"status": reply.status} | fields))
+    elif reply.status in (200, 201):
+        click.echo(f"{fields['ticket']} {fields['state']}")
+        steps = fields.get("steps", [])
+        if isinstance(steps, dict):
+            click.echo("  steps: " + ", ".join(f"{count} {state}" for state, count in steps.items()))
+        else:
+            for step in steps:
+                job = f", job {step['job']}, {step['running']} running" if "job" in step else ""
+                tasks = f"{step.get('done', 0)} of {step['tasks']} tasks done"
+                click.echo(f"  {step['step']}: {step['state']}, {tasks}{job}")
+        if failure := fields.get("failure"):
+            click.echo(f"  {failure['step']} failed: {failure['why']}; {failure['unfinished']} tasks are not done")
+    else:
+        for fault in fields.get("faults", ()):
+            value = f" (it is {fault['value']})" if fault["value"] else ""
+            click.echo(f"kelpjunction: {fault['path']}: {fault['rule']}{value}", err=True)
+        if not fields.get("faults"):
+            click.echo(f"kelpjunction: {reply.status}: {fields.get('error', 'no reason given')}", err=True)
+    if reply.status not in (200, 201):
+        sys.exit(1)
+
+
+@ticket.command()
+@_content
+@click.option("--class", "klass", default="once", show_default=True, help="One of the gateway's ticket classes.")
+@click.option("--image", default="none", show_default=True, help="The image its tasks need.")
+@click.option("--image-gb", default=0.0, show_default=True, type=click.FloatRange(0))
+@_asking
+def submit(
+    file: Path, pairs: tuple[str, ...], team: str, ticket_id: str | None, seconds: float, klass: str, image: str,
+    image_gb: float, gateways: str, patience: float, as_json: bool,
+) -> None:  # fmt: skip
+    """Submit FILE (YAML or JSON); again, it runs only as often as its class allows.
+
+    \b
+    Example:
+      kelpjunction ticket submit match.yaml -p Race=regina-10k --team red --class once
+    """
+    try:
+        text = file.read_text()
+    except UnicodeDecodeError as error:
+        _fail(1, f"{file}: not text: {error}")
+    fields = {
+        "class": klass, "team": team, "template": text, "parameters": _parameters(pairs), "estimate_s": seconds,
+        "image": image, "image_gb": image_gb,
+    }  # fmt: skip
+    if ticket_id:
+        fields["id"] = ticket_id
+    _print(Caller(gateways, patience).ask("POST", TICKETS_PATH, fields), as_json)
+
+
+@ticket.command()
+@click.argument("ticket_id", metavar="ID")
+@_asking
+def show(ticket_id: str, gateways: str, patience: float, as_json: bool) -> None:
+    """Show how a ticket stands, with the jobs of its steps; ID.N is its run N."""
+    _print(Caller(gateways, patience).ask("GET", f"{TICKETS_PATH}/{ticket_id}"), as_json)
+
+
+@ticket.command()
+@click.argument("ticket_id", metavar="ID")
+@click.option("--every", type=click.FloatRange(0.2), default=POLL_EVERY.total_seconds(), help="Seconds between polls.")
+@_asking
+def watch(ticket_id: str, every: float, gateways: str, patience: float, as_json: bool) -> None:
+    """Follow a ticket until its final answer; exit code 1 if that is not `done`."""
+    caller, last = Caller(gateways, patience), None
+    while True:
+        reply = caller.ask("GET", f"{TICKETS_PATH}/{ticket_id}")
+        if reply != last:
+            _print(reply, as_json)
+        if reply.fields.get("state") in ("done", "failed", "cancelled"):
+            sys.exit(0 if reply.fields["state"] == "done" else 1)
+        last = reply
+        time.sleep(every)
+
+
+@ticket.command()
+@click.argument("ticket_id", metavar="ID")
+@_asking
+def cancel(ticket_id: str, gateways: str, patience: float, as_json: bool) -> None:
+    """Cancel a ticket with all its jobs; one that has ended stays as it is."""
+    _print(Caller(gateways, patience).ask("POST", f"{TICKETS_PATH}/{ticket_id}/cancel"), as_json)
--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -9,7 +9,6 @@
 import gevent
 from gevent.event import Event
 from gevent.pool import Pool
-from gevent.pywsgi import WSGIServer
 
 from kelpjunction.blocks import BLOCK_PREFIX, Blocks
 from kelpjunction.changes import Changes
@@ -17,7 +16,7 @@
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.fleet.machines import Inventory
 from kelpjunction.fleet.watch import Watch
-from kelpjunction.http import Application, Handler, PeerApplication, ask_peer
+from kelpjunction.http import Application, PeerApplication, ask_peer, server
 from kelpjunction.intake import Intake
 from kelpjunction.jobs.blame import Blame
 from kelpjunction.jobs.book import JOB_PREFIX, RUN_PREFIX, Book
@@ -252,13 +251,13 @@
     def run_forever(self) -> None:
         """Serve until the process is killed."""
         incoming = self._platform.max_sockets - self._outgoing - 2 * FEW_SOCKETS
-        users = self._server(self._platform.listen, Application(self.node.intake, self.node.check_in), Pool(incoming))
+        users = server(self._platform.listen, Application(self.node.intake, self.node.check_in), Pool(incoming))
         metrics = None
         if self._operators.metrics:
             from kelpjunction.metrics import Metrics
 
             metrics = Metrics(self.node)
-        peers = self._server(self._platform.internal, PeerApplication(self.node.intake, metrics), Pool(FEW_SOCKETS))
+        peers = server(self._platform.internal, PeerApplication(self.node.intake, metrics), Pool(FEW_SOCKETS))
         users.start()
         peers.start()
         # A node makes much garbage and few cycles: looking for them as often
@@ -273,18 +272,6 @@
         # A loop that ends has a defect; the node goes on without hiding it.
         gevent.joinall([gevent.spawn(self._guard, loop) for loop in loops])
 
-    def _server(self, address: str, application, pool: Pool) -> WSGIServer:
-        host, _, port = address.rpartition(":")
-        return WSGIServer(
-            (host, int(port)),
-            application,
-            spawn=pool,
-            log=None,
-            handler_class=Handler,
-            error_log=logging.getLogger("http"),
-            backlog=256,
-        )
-
     def _guard(self, loop: Callable[[], None]) -> None:
         """Run a loop's turns for ever: an odd reply must never end the process."""
         while True:
--- a/kelpjunction/http.py
+++ b/kelpjunction/http.py
@@ -7,7 +7,8 @@
 from typing import TYPE_CHECKING
 
 import orjson
-from gevent.pywsgi import WSGIHandler
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from kelpjunction.intake import Answer, Intake
 from kelpjunction.transport import NoAnswer, Transport
@@ -34,7 +35,7 @@
 METRICS_PATH = "/metrics"
 
 
-def _respond(start_response: Callable, answer: Answer) -> Iterable[bytes]:
+def respond(start_response: Callable, answer: Answer) -> Iterable[bytes]:
     headers = [("Content-Type", "application/json"), ("Content-Length", str(len(answer.body)))]
     if answer.retry_after is not None:
         headers.append(("Retry-After", str(math.ceil(answer.retry_after.total_seconds()))))
@@ -45,7 +46,7 @@
     return [answer.body]
 
 
-def _body(environ: dict) -> bytes:
+def body_of(environ: dict) -> bytes:
     """The request's body; an oversized one is refused without reading it all."""
     try:
         length = int(environ.get("CONTENT_LENGTH") or 0)
@@ -130,6 +131,20 @@
         pass
 
 
+def server(address: str, application: Callable, pool: Pool) -> WSGIServer:
+    """A server on this address, not started yet; `pool` bounds its connections."""
+    host, _, port = address.rpartition(":")
+    return WSGIServer(
+        (host, int(port)),
+        application,
+        spawn=pool,
+        log=None,
+        handler_class=Handler,
+        error_log=log,
+        backlog=256,
+    )
+
+
 class Application:
     """What users, workers and the load balancer reach."""
 
@@ -145,28 +160,28 @@
         except Exception:
             log.exception("%s %s failed", environ["REQUEST_METHOD"], environ["PATH_INFO"])
             answer = Answer(500, users.error_answer("internal error"))
-        return _respond(start_response, answer)
+        return respond(start_response, answer)
 
     def _route(self, method: str, path: str, environ: dict) -> Answer:
         if path == workers.CHECK_IN_PATH:
-            return Answer(*self._check_in(_body(environ))) if method == "POST" else _not_allowed()
+            return Answer(*self._check_in(body_of(environ))) if method == "POST" else not_allowed()
         if path == users.HEALTH_PATH:
             healthy = self._intake.healthy()
             return Answer(200 if healthy else 503, b"{}")
         if path == users.JOBS_PATH:
-            return self._intake.submit(_body(environ)) if method == "POST" else _not_allowed()
+            return self._intake.submit(body_of(environ)) if method == "POST" else not_allowed()
         if path.startswith(users.JOBS_PATH + "/"):
             ref = path.removeprefix(users.JOBS_PATH + "/")
             if ref.endswith(users.ABORT_END):
                 if method != "POST":
-                    return _not_allowed()
-                _body(environ)
+                    return not_allowed()
+                body_of(environ)
                 return self._intake.abort(ref.removesuffix(users.ABORT_END))
-            return self._intake.status(ref) if method == "GET" else _not_allowed()
+            return self._intake.status(ref) if method == "GET" else not_allowed()
         return Answer(404, users.error_answer("no such path"))
 
 
-def _not_allowed() -> Answer:
+def not_allowed() -> Answer:
     return Answer(405, users.error_answer("method not allowed"))
 
 
@@ -185,8 +200,8 @@
             )
             return [text]
         if environ["PATH_INFO"] != PEER_PATH:
-            return _respond(start_response, Answer(404, b"{}"))
-        return _respond(start_response, Answer(200, orjson.dumps({"fresh": self._intake.fresh})))
+            return respond(start_response, Answer(404, b"{}"))
+        return respond(start_response, Answer(200, orjson.dumps({"fresh": self._intake.fresh})))
 
 
 def ask_peer(transport: Transport, address: str) -> bool:
--- a/kelpjunction/intake/__init__.py
+++ b/kelpjunction/intake/__init__.py
@@ -7,6 +7,7 @@
 
 import logging
 from collections import OrderedDict
+from collections.abc import Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -15,11 +16,11 @@
 from kelpjunction.jobs.book import END_PREFIX, JOB_PREFIX, Book, job_record
 from kelpjunction.placement import type_fits
 from kelpjunction.queue import over_limit
-from kelpjunction.settings import Platform
+from kelpjunction.settings import Platform, Team
 from kelpjunction.store.client import Ending, StoreClient, StoreDown
 from kelpjunction.store.mirror import Mirror, Verifier
 from kelpjunction.wire import users as wire
-from kelpjunction.wire.messages import JobPhase, JobSpec, Shape
+from kelpjunction.wire.messages import JobPhase, JobSpec, MachineType, Shape
 from kelpjunction.wire.users import Malformed
 
 log = logging.getLogger("intake")
@@ -42,6 +43,19 @@
     return Answer(503, wire.error_answer(why), RETRY_AFTER)
 
 
+def why_never(spec: JobSpec, catalog: Mapping[str, MachineType], teams: Mapping[str, Team]) -> str | None:
+    """Why a job can never run, or None."""
+    team = teams.get(spec.team)
+    if team is None:
+        return f"unknown team {spec.team}"
+    if not any(type_fits(spec, t) for t in catalog.values()):
+        return "a task fits no allowed machine type"
+    at_once = 1 if spec.shape is Shape.ARRAY else spec.tasks
+    if over_limit(team, spec.cpus, spec.gpus, at_once):
+        return f"the job needs more than the limit of team {spec.team}"
+    return None
+
+
 class Intake:
     """What users can ask of this node."""
 
@@ -115,21 +129,9 @@
         catalog = self._fleet.catalog
         if not catalog:
             return later("the machine types are not known yet")
-        why = self._never(spec, catalog)
+        why = why_never(spec, catalog, self._teams)
         return None if why is None else Answer(422, wire.error_answer(why))
 
-    def _never(self, spec: JobSpec, catalog: dict) -> str | None:
-        """Why the job can never run, or None."""
-        team = self._teams.get(spec.team)
-        if team is None:
-            return f"unknown team {spec.team}"
-        if not any(type_fits(spec, t) for t in catalog.values()):
-            return "a task fits no allowed machine type"
-        at_once = 1 if spec.shape is Shape.ARRAY else spec.tasks
-        if over_limit(team, spec.cpus, spec.gpus, at_once):
-            return f"the job needs more than the limit of team {spec.team}"
-        return None
-
     # -- status -------------------------------------------------------------
 
     def status(self, ref: str) -> Answer:
--- a/kelpjunction/jobs/records.py
+++ b/kelpjunction/jobs/records.py
@@ -13,9 +13,9 @@
 
 from kelpjunction.clock import Clock
 from kelpjunction.jobs.book import END_PREFIX, JOB_PREFIX, RUN_PREFIX, SUM_PREFIX, Book, Chunk, Job
-from kelpjunction.store.client import Ending, StoreClient, Transaction
+from kelpjunction.store.client import Ending, StoreClient, Transaction, merged
 from kelpjunction.store.mirror import LIVE, Mirror
-from kelpjunction.wire.state import GUARDS_PER_OP, MAX_TXN_BYTES
+from kelpjunction.wire.state import GUARDS_PER_OP
 
 log = logging.getLogger("jobs")
 
@@ -66,7 +66,7 @@
 
     def write(self, txns: list[Transaction]) -> bool:
         """Apply these, merged as far as the limits go; False if the round must end."""
-        for txn in self._merged(txns):
+        for txn in merged(txns, self._store.limits):
             outcome = self._store.apply(txn)
             if outcome.ending is Ending.APPLIED:
                 ended = {k: v for k, v in txn.puts.items() if k.startswith(END_PREFIX)}
@@ -86,30 +86,6 @@
             return False
         return True
 
-    def _merged(self, txns: list[Transaction]) -> list[Transaction]:
-        limits = self._store.limits
-        merged: list[Transaction] = []
-        size = 0
-        for txn in txns:
-            more = txn.size()
-            last = merged[-1] if merged else None
-            fits = (
-                last is not None
-                and last.ops + txn.ops <= limits.txn_ops
-                and len(last.guards.keys() | txn.guards.keys()) <= limits.txn_ops * GUARDS_PER_OP
-                and size + more <= MAX_TXN_BYTES
-                and not (last.puts.keys() | last.deletes) & (txn.puts.keys() | txn.deletes)
-            )
-            if fits:
-                last.guards |= txn.guards
-                last.puts |= txn.puts
-                last.deletes |= txn.deletes
-                size += more
-            else:
-                merged.append(txn)
-                size = more
-        return merged
-
     def settled(self) -> bool:
         """Make sure that transactions of unknown outcome are applied by now or never will be.
 
--- a/kelpjunction/lab/live.py
+++ b/kelpjunction/lab/live.py
@@ -25,11 +25,12 @@
 from kelpjunction.clock import seconds
 from kelpjunction.lab.site import CLOUD_LIMITS, STORE_LIMITS, TEAMS, Refused, Site
 from kelpjunction.lab.standins import WorkerStandIn
+from kelpjunction.tickets.users import CANCEL_END, TICKETS_PATH
 from kelpjunction.transport import HttpTransport, NoAnswer, Reply
 from kelpjunction.wire.workers import CHECK_IN_PATH
 
 HOST = "127.0.0.1"
-STATE_PORT, CLOUD_PORT, CONTROL_PORT = 379, 443, 70  # above the lab's first port, as the nodes' are
+STATE_PORT, CLOUD_PORT, CONTROL_PORT, GATEWAY_PORT = 379, 443, 70, 90  # above the lab's first port, as the nodes' are
 TICK = timedelta(milliseconds=100)
 USER_TIMEOUT = timedelta(seconds=5)
 WORKER_TIMEOUT = timedelta(seconds=4)
@@ -57,6 +58,7 @@
         seed: int = 1,
         operators: str | None = None,
         verbose: bool = False,
+        tickets: bool = False,
     ) -> None:
         names = tuple("abcdefghijklmnopqrstuvwxyz"[:zones])
         super().__init__(LiveClock(), seed, names, TEAMS, 2 * machines, speed)
@@ -77,6 +79,7 @@
             self.cloud.add(self.zones[number % zones], False, self.clock.now)
         for name in self.processes:
             self.start_node(name)
+        self._gateway = self._start_gateway() if tickets else None
 
     # -- servers ----------------------------------------------------------------
 
@@ -188,10 +191,25 @@
                 raise Refused(f"{address} is taken: another lab may be up; --port names another")
         file = Path(self._folder.name) / f"{name}.toml"
         file.write_text(tomli_w.dumps(self.settings(name)))
-        log = (Path(self._folder.name) / f"{name}.log").open("ab")
-        with log:
-            self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "kelpjunction", "serve", "--config", str(file), *self._operators],
+        self.processes[name] = self._process(name, "serve", "--config", str(file), *self._operators)
+
+    def _start_gateway(self) -> subprocess.Popen:
+        """One ticket gateway, with a class of each kind."""
+        settings = {
+            "name": "gate-0",
+            "listen": f"{HOST}:{self._port + GATEWAY_PORT}",
+            "classes": {runs: {"runs": runs} for runs in ("once", "after-failure", "after-pause", "always")},
+        }
+        file = Path(self._folder.name) / "gateway.json"
+        file.write_bytes(orjson.dumps(settings))
+        node = Path(self._folder.name) / f"{self.node_names[0]}.toml"
+        return self._process("gateway", "ticket", "serve", "--config", str(node), "--settings", str(file))
+
+    def _process(self, name: str, *command: str) -> subprocess.Popen:
+        """A process of the command line, its log beside the settings."""
+        with (Path(self._folder.name) / f"{name}.log").open("ab") as log:
+            return subprocess.Popen(
+                [sys.executable, "-m", "kelpjunction", *command],
                 stderr=None if self._verbose else log,
                 cwd=Path(__file__).resolve().parents[2],
             )
@@ -215,6 +233,9 @@
         """End all that this lab started."""
         for name in self.processes:
             self.kill_node(name)
+        if self._gateway is not None:
+            self._gateway.kill()
+            self._gateway.wait()
         for server in self._servers:
             server.stop(timeout=0.1)
         self._folder.cleanup()
@@ -230,6 +251,17 @@
                 continue
         raise NoAnswer("every node refuses the connection")
 
+    def ask_gateway(self, what: str, argument: bytes | str, name: str | None = None) -> tuple[int | None, dict]:
+        method, path, body = {
+            "submit": ("POST", TICKETS_PATH, argument),
+            "show": ("GET", f"{TICKETS_PATH}/{argument}", None),
+            "cancel": ("POST", f"{TICKETS_PATH}/{argument}{CANCEL_END}", b"{}"),
+        }[what]
+        try:
+            return self._transport.request(f"{HOST}:{self._port + GATEWAY_PORT}", method, path, body, USER_TIMEOUT)
+        except NoAnswer:
+            return None, {}
+
     def reach_node(self, worker: WorkerStandIn, number: int, fields: dict) -> tuple[int, dict]:
         if worker.cut:
             gevent.sleep(WORKER_TIMEOUT.total_seconds())
@@ -237,12 +269,6 @@
         address = self._node_address(number)
         return self._transport.request(address, "POST", CHECK_IN_PATH, orjson.dumps(fields), WORKER_TIMEOUT)
 
-    def job(self, ref: str) -> dict:
-        if ref not in self.jobs:
-            # It came from a second terminal: what was uploaded is what the nodes stored.
-            self.jobs[ref] = self.store.data[f"l/job/{ref}"][0]["spec"]
-        return self.jobs[ref]
-
     # -- faults -------------------------------------------------------------------
 
     def later(self, duration: float, act) -> None:
--- a/kelpjunction/lab/scenario.py
+++ b/kelpjunction/lab/scenario.py
@@ -9,8 +9,10 @@
 from pathlib import Path
 
 import fastjsonschema
+import orjson
 
 from kelpjunction.lab.site import FAULTS, Refused, Site
+from kelpjunction.tickets.users import is_final
 from kelpjunction.wire import users
 
 POLL_EVERY = 0.5  # seconds
@@ -45,6 +47,24 @@
                     },
                 },
             },
+            "ticket": {
+                "type": "array",
+                "default": [],
+                "items": {
+                    "type": "object",
+                    "required": ["id", "team", "file"],
+                    "additionalProperties": False,
+                    "properties": {
+                        "at_s": _NUMBER | {"default": 0},
+                        "id": {"type": "string"},
+                        "team": {"type": "string"},
+                        "file": {"type": "string"},
+                        "class": {"type": "string", "default": "once"},
+                        "parameters": {"type": "object", "default": {}},
+                        "seconds": _NUMBER | {"default": 10},
+                    },
+                },
+            },
             "fault": {
                 "type": "array",
                 "default": [],
@@ -82,7 +102,10 @@
 def load(path: Path) -> dict:
     """Read and check a scenario; raises `ScenarioError`."""
     try:
-        return _check(tomllib.loads(path.read_text()))
+        what = _check(tomllib.loads(path.read_text()))
+        for ticket in what["ticket"]:
+            ticket["template"] = (path.parent / ticket["file"]).read_text()
+        return what
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise ScenarioError(str(error)) from error
     except fastjsonschema.JsonSchemaValueException as error:
@@ -98,6 +121,7 @@
         self._tell = tell
         self._began = site.clock.now
         self.jobs: dict[str, Played] = {}
+        self.tickets: dict[str, Played] = {}
         self._refused: list[str] = []  # faults that could not be
         for number, fault in enumerate(scenario["fault"]):
             try:
@@ -115,6 +139,7 @@
         events = [
             (job["at_s"] + self._site.random.uniform(0, late), self._submit, job) for job in self._scenario["job"]
         ]
+        events += [(ticket["at_s"], self._bring, ticket) for ticket in self._scenario.get("ticket", ())]
         events += [(fault["at_s"], self._fault, fault) for fault in self._scenario["fault"]]
         for at, act, what in sorted(events, key=lambda event: event[0]):
             self._pass(until=at)
@@ -134,6 +159,29 @@
             played.submitted, played.state = self._now, "accepted"
             self._tell(f"{self._now:6.1f} s  {played.fields['ref']} accepted")
 
+    def _bring(self, ticket: dict) -> None:
+        fields = {name: ticket[name] for name in ("id", "class", "team", "template", "parameters")}
+        fields |= {"estimate_s": ticket["seconds"]}
+        self.tickets[ticket["id"]] = Played(fields)
+
+    def _ask_ticket(self, played: Played) -> None:
+        """Submit a ticket until it is accepted, then ask how it stands until its one answer."""
+        name = played.fields["id"]
+        if played.submitted is None:
+            status, answer = self._site.ask_gateway("submit", orjson.dumps(played.fields))
+        else:
+            status, answer = self._site.ask_gateway("show", name)
+        if status not in (200, 201):
+            played.state = answer.get("error", played.state)
+            return
+        if played.submitted is None:
+            played.submitted = self._now
+        if answer["state"] != played.state:
+            played.state = answer["state"]
+            self._tell(f"{self._now:6.1f} s  {name} {played.state}")
+        if is_final(answer):
+            played.ended = self._now
+
     def _fault(self, fault: dict) -> None:
         what = f"{fault['do']} {fault['target']}".rstrip()
         self._tell(f"{self._now:6.1f} s  {what}")
@@ -150,6 +198,9 @@
                     self._offer(played)
                 elif played.ended is None:
                     self._poll(played)
+            for played in self.tickets.values():
+                if played.ended is None:
+                    self._ask_ticket(played)
 
     def _poll(self, played: Played) -> None:
         ref = played.fields["ref"]
@@ -168,7 +219,8 @@
 
     def _all_well(self) -> bool:
         left = [p for p in self.jobs.values() if p.ended is None]
-        return all(p.fields["shape"] == "service" and self._up(p) for p in left)
+        tickets = all(p.ended is not None for p in self.tickets.values())
+        return tickets and all(p.fields["shape"] == "service" and self._up(p) for p in left)
 
     def _end_services(self) -> None:
         """Cancel the services; all of their replicas must go."""
@@ -183,19 +235,21 @@
 
     def problems(self) -> list[str]:
         """What did not go as it should."""
-        left = [f"{ref}: {p.state}" for ref, p in self.jobs.items() if p.ended is None]
+        left = [f"{ref}: {p.state}" for ref, p in (self.jobs | self.tickets).items() if p.ended is None]
+        left += [f"{name}: {p.state}" for name, p in self.tickets.items() if p.state in ("failed", "cancelled")]
         return left + self._refused + list(dict.fromkeys(self._site.broken))
 
     def summary(self) -> dict:
         """The figures of the run, as `lab run --json` prints them."""
         times = {
             ref: None if p.ended is None or p.submitted is None else round(p.ended - p.submitted, 1)
-            for ref, p in self.jobs.items()
+            for ref, p in (self.jobs | self.tickets).items()
         }
         return {
             "title": self._scenario.get("title", ""),
             "lasted_s": round(self._now, 1),
             "jobs": {ref: {"state": p.state, "took_s": times[ref]} for ref, p in self.jobs.items()},
+            "tickets": {name: {"state": p.state, "took_s": times[name]} for name, p in self.tickets.items()},
             "starts": len(self._site.starts),
             "problems": self.problems(),
         }
--- a/kelpjunction/lab/site.py
+++ b/kelpjunction/lab/site.py
@@ -61,6 +61,13 @@
         """A user's request, to a node of this name or to any: status and answer; raises `NoAnswer` if none takes it."""
         raise NotImplementedError
 
+    def ask_gateway(self, what: str, argument: bytes | str, name: str | None = None) -> tuple[int | None, dict]:
+        """A ticket user's request to this gateway or to any: `submit` (a body), `show` or `cancel` (an id).
+
+        None stands for the status if no gateway takes the connection.
+        """
+        return None, {}
+
     def reach_node(self, worker: WorkerStandIn, number: int, fields: dict) -> tuple[int, dict]:
         """A worker's report to the node of this number; raises `NoAnswer`."""
         raise NotImplementedError
@@ -176,7 +183,9 @@
         return self.random.uniform(*spread) if self.varied else 1.0
 
     def job(self, ref: str) -> dict:
-        """What the user uploaded."""
+        """What the user uploaded; of jobs that came another way, what the nodes stored."""
+        if ref not in self.jobs:
+            self.jobs[ref] = self.store.data[f"l/job/{ref}"][0]["spec"]
         return self.jobs[ref]
 
     # -- users ----------------------------------------------------------------
--- a/kelpjunction/leadership/__init__.py
+++ b/kelpjunction/leadership/__init__.py
@@ -4,7 +4,8 @@
 keys `l/node/<name>` and `l/lead` are attached to the hold, so they vanish when
 their node stops extending it; the term in `l/term` rises with every takeover and never falls.  Every
 write of a leader is guarded by the version of `l/lead`, which does not change
-during a reign: a leader that was superseded cannot write.
+during a reign: a leader that was superseded cannot write.  The
+ticket gateways elect one of themselves in the same way, under a prefix of their own.
 """
 
 import logging
@@ -16,13 +17,11 @@
 from kelpjunction.clock import Clock, seconds
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Ending, HoldLost, StoreClient, StoreDown
-from kelpjunction.store.mirror import Mirror
+from kelpjunction.store.mirror import LIVE, Mirror
 
 log = logging.getLogger("leadership")
 
-LEAD_KEY = "l/lead"
-MEMBER_PREFIX = "l/node/"
-TERM_KEY = "l/term"
+LEAD_KEY = LIVE + "lead"
 DRIFT = 1.001  # twice the 0.05% that each of two steady clocks may be off
 
 
@@ -65,7 +64,9 @@
         clock: Clock,
         incarnation: str,
         on_change: Callable[[Reign | None], None],
+        prefix: str = LIVE,
     ) -> None:
+        self._lead_key, self._member_prefix, self._term_key = (prefix + name for name in ("lead", "node/", "term"))
         self._node = platform.node
         self._identity = {"zone": platform.zone, "incarnation": incarnation}
         self._length = operators.hold
@@ -80,11 +81,11 @@
         self.reign: Reign | None = None
         self.is_deaf: Callable[[], bool] = lambda: False  # whether this node reaches no machine
         self.members: dict[str, dict] = {}  # the nodes that are alive: their zones and incarnations
-        mirror.listen(LEAD_KEY, self._lead_changed)
-        mirror.listen(MEMBER_PREFIX, self._member_changed)
+        mirror.listen(self._lead_key, self._lead_changed)
+        mirror.listen(self._member_prefix, self._member_changed)
 
     def _member_changed(self, key: str, value: dict | None, version: int) -> None:
-        name = key.removeprefix(MEMBER_PREFIX)
+        name = key.removeprefix(self._member_prefix)
         if value is None:
             self.members.pop(name, None)
         else:
@@ -114,10 +115,10 @@
                 self._join()
             else:
                 self._extend()
-                told = self._mirror.get(MEMBER_PREFIX + self._node)
+                told = self._mirror.get(self._member_prefix + self._node)
                 if self.standing is not Standing.OUTSIDE and (told is None or told.value != self._member):
                     self._tell(self._hold)
-            if self.standing is Standing.FOLLOWER and self._mirror.get(LEAD_KEY) is None:
+            if self.standing is Standing.FOLLOWER and self._mirror.get(self._lead_key) is None:
                 self._run_for_leader()
         except StoreDown as error:
             log.debug("no step: %s", error)
@@ -140,7 +141,7 @@
 
     def _tell(self, hold: int) -> bool:
         """Write this node's member key."""
-        key, member = MEMBER_PREFIX + self._node, self._member
+        key, member = self._member_prefix + self._node, self._member
         outcome = self._store.commit({}, {key: member}, holds={key: hold})
         if outcome.ending is Ending.APPLIED:
             self._mirror.put(key, member, outcome.revision)
@@ -152,13 +153,13 @@
         return self._identity | ({"deaf": True} if self.is_deaf() else {})
 
     def _run_for_leader(self) -> None:
-        entry = self._mirror.get(TERM_KEY)
+        entry = self._mirror.get(self._term_key)
         term = (entry.value if entry else 0) + 1
         lead = {"node": self._node, "term": term}
         outcome = self._store.commit(
-            {LEAD_KEY: 0, TERM_KEY: entry.version if entry else 0},
-            {LEAD_KEY: lead, TERM_KEY: term},
-            holds={LEAD_KEY: self._hold},
+            {self._lead_key: 0, self._term_key: entry.version if entry else 0},
+            {self._lead_key: lead, self._term_key: term},
+            holds={self._lead_key: self._hold},
         )
         if outcome.ending is Ending.UNKNOWN:
             # It may still make this node leader on paper: under a new hold,
@@ -166,14 +167,14 @@
             self._stand(Standing.OUTSIDE, "candidacy of unknown outcome")
         if outcome.ending is not Ending.APPLIED:
             return
-        self._mirror.put(TERM_KEY, term, outcome.revision)
+        self._mirror.put(self._term_key, term, outcome.revision)
         # The listener must already see a leader when the key comes in.
         self.reign = Reign(term, outcome.revision, self._clock.steady())
-        self._mirror.put(LEAD_KEY, lead, outcome.revision)
+        self._mirror.put(self._lead_key, lead, outcome.revision)
         self._stand(Standing.LEADER, f"term {term}")
 
     def _lead_changed(self, key: str, value: dict | None, version: int) -> None:
-        if key == LEAD_KEY and self.standing is Standing.LEADER and version != self.reign.lead_version:
+        if key == self._lead_key and self.standing is Standing.LEADER and version != self.reign.lead_version:
             self._stand(Standing.FOLLOWER, "superseded")
 
     def _stand(self, standing: Standing, why: str) -> None:
--- a/kelpjunction/store/client.py
+++ b/kelpjunction/store/client.py
@@ -17,6 +17,7 @@
 from kelpjunction.settings import StoreLimits
 from kelpjunction.transport import NoAnswer, Reply, Transport
 from kelpjunction.wire import state as wire
+from kelpjunction.wire.state import GUARDS_PER_OP, MAX_TXN_BYTES
 from kelpjunction.wire.users import Malformed
 
 log = logging.getLogger("store")
@@ -92,6 +93,31 @@
         return keys + sum(len(orjson.dumps(v)) for v in self.puts.values())
 
 
+def merged(txns: Iterable[Transaction], limits: StoreLimits) -> list[Transaction]:
+    """These in as few transactions as the limits allow, in their order; none is split."""
+    found: list[Transaction] = []
+    size = 0
+    for txn in txns:
+        more = txn.size()
+        last = found[-1] if found else None
+        fits = (
+            last is not None
+            and last.ops + txn.ops <= limits.txn_ops
+            and len(last.guards.keys() | txn.guards.keys()) <= limits.txn_ops * GUARDS_PER_OP
+            and size + more <= MAX_TXN_BYTES
+            and not (last.puts.keys() | last.deletes) & (txn.puts.keys() | txn.deletes)
+        )
+        if fits:
+            last.guards |= txn.guards
+            last.puts |= txn.puts
+            last.deletes |= txn.deletes
+            size += more
+        else:
+            found.append(txn)
+            size = more
+    return found
+
+
 class Haste(Enum):
     """How long a write may be kept waiting for its turn."""
 
--- a/kelpjunction/store/mirror.py
+++ b/kelpjunction/store/mirror.py
@@ -25,9 +25,10 @@
 
 
 class Mirror:
-    """The live keys as this node last saw them."""
+    """All keys below a prefix as this process last saw them: the live keys, unless another is given."""
 
-    def __init__(self, store: StoreClient, clock: Clock, transport: Transport) -> None:
+    def __init__(self, store: StoreClient, clock: Clock, transport: Transport, prefix: str = LIVE) -> None:
+        self._prefix = prefix
         self._store = store
         self._clock = clock
         self._transport = transport
@@ -64,7 +65,7 @@
     def load(self) -> None:
         """Read everything anew."""
         asked_at = self._clock.steady()
-        entries, revision = self._store.scan(LIVE)
+        entries, revision = self._store.scan(self._prefix)
         present = {e.key for e in entries}
         for key in [k for k in self._entries if k not in present]:
             if self._entries[key].version <= revision:
@@ -73,7 +74,7 @@
             self.put(*entry)
         self.revision, self.fresh_at = revision, asked_at
         self._deleted = {k: v for k, v in self._deleted.items() if v > revision}
-        log.info("live keys read: %d at revision %d", len(entries), revision)
+        log.info("keys below %s read: %d at revision %d", self._prefix, len(entries), revision)
 
     def follow_once(self) -> None:
         """Wait for the next changes and put them in."""
@@ -81,7 +82,7 @@
             self.load()
             return
         asked_at = self._clock.steady()
-        got = self._store.follow(LIVE, self.revision, FOLLOW_WAIT, self._transport)
+        got = self._store.follow(self._prefix, self.revision, FOLLOW_WAIT, self._transport)
         if got is None:
             self.load()
             return
--- /dev/null
+++ b/kelpjunction/tickets/classes.py
@@ -0,0 +1,87 @@
+"""Ticket classes: how often the same ticket may run, as the operators' file says.  The rule itself is pure."""
+
+from dataclasses import dataclass
+from datetime import datetime, timedelta
+from enum import Enum
+from pathlib import Path
+
+import fastjsonschema
+import orjson
+
+from kelpjunction.clock import seconds
+from kelpjunction.settings import SettingsError
+from kelpjunction.tickets.course import End, Ending
+
+SCHEMA = orjson.loads(Path(__file__).with_name("tickets.schema.json").read_bytes())
+_check = fastjsonschema.compile(SCHEMA)
+_fill_in = fastjsonschema.compile(SCHEMA["properties"]["classes"]["additionalProperties"])
+
+
+class Runs(Enum):
+    """How often the same ticket may run."""
+
+    ONCE = "once"
+    AFTER_FAILURE = "after-failure"
+    AFTER_PAUSE = "after-pause"
+    ALWAYS = "always"
+
+
+@dataclass(frozen=True, slots=True)
+class TicketClass:
+    """A ticket class; the schema holds the defaults and says what each part means."""
+
+    name: str
+    runs: Runs
+    times: int
+    pause: timedelta
+    remember: timedelta
+    failures: int
+    finish: bool  # whether steps go on that do not depend on a failed one
+
+
+@dataclass(frozen=True, slots=True)
+class TicketSettings:
+    """A gateway's settings."""
+
+    name: str
+    listen: str
+    most_live: int
+    most_remembered: int
+    classes: dict[str, TicketClass]
+
+    def klass(self, name: str) -> TicketClass:
+        """The class of an accepted ticket, also if it was taken out of the file meanwhile."""
+        return self.classes.get(name) or _class(name, {"runs": Runs.ONCE.value})
+
+
+def _class(name: str, raw: dict) -> TicketClass:
+    raw = _fill_in(dict(raw))
+    return TicketClass(
+        name, Runs(raw["runs"]), raw["times"], seconds(raw["pause_s"]), seconds(raw["remember_s"]), raw["failures"],
+        raw["on_failure"] == "finish",
+    )  # fmt: skip
+
+
+def load_tickets(path: str | Path) -> TicketSettings:
+    """Read and check a gateway's file; raises `SettingsError`, which names the field."""
+    try:
+        raw = _check(orjson.loads(Path(path).read_bytes()))
+    except (OSError, orjson.JSONDecodeError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    except fastjsonschema.JsonSchemaValueException as error:
+        raise SettingsError(f"{path}: {error.message.removeprefix('data.')}") from error
+    classes = {name: _class(name, c) for name, c in raw["classes"].items()}
+    return TicketSettings(raw["name"], raw["listen"], raw["most_live"], raw["most_remembered"], classes)
+
+
+def runs_again(klass: TicketClass, run: int, end: End | None, now: datetime) -> bool:
+    """Whether a ticket that comes again gets a new run after its run of this number; `end` is None while that lasts."""
+    if klass.runs is Runs.ALWAYS:
+        return True
+    if end is None:
+        return False
+    if now >= end.until:
+        return True  # it is forgotten, whether or not its records are gone yet
+    if klass.runs is Runs.AFTER_FAILURE:
+        return end.ending is Ending.FAILED and run < klass.times
+    return klass.runs is Runs.AFTER_PAUSE and now - end.at >= klass.pause
--- /dev/null
+++ b/kelpjunction/tickets/desk.py
@@ -0,0 +1,259 @@
+"""Ticket users: submit, show, cancel.  Any gateway serves any user, as any node does for jobs."""
+
+import hashlib
+import logging
+from collections.abc import Mapping
+from datetime import timedelta
+from random import Random
+
+import orjson
+
+from kelpjunction.clock import Clock
+from kelpjunction.intake import RETRY_AFTER, TRIES, Answer, later, why_never
+from kelpjunction.jobs.book import Book
+from kelpjunction.settings import Team
+from kelpjunction.store.client import Ending as Outcome
+from kelpjunction.store.client import Haste, StoreClient, StoreDown, Transaction
+from kelpjunction.store.mirror import Mirror, Verifier
+from kelpjunction.tickets import plan, users
+from kelpjunction.tickets.classes import TicketSettings, runs_again
+from kelpjunction.tickets.course import Course, End, StepState
+from kelpjunction.tickets.plan import Fault, Plan, Refused
+from kelpjunction.tickets.records import (
+    ENDED_PREFIX,
+    FULL_KEY,
+    HEAD_PREFIX,
+    STAGE_PREFIX,
+    TICKET_PREFIX,
+    Live,
+    TicketRecords,
+    pack,
+    part_key,
+    salted,
+)
+from kelpjunction.tickets.steps import Steps
+from kelpjunction.tickets.users import Malformed, run_id
+from kelpjunction.wire.messages import MachineType
+from kelpjunction.wire.users import error_answer
+
+log = logging.getLogger("tickets")
+
+FULL_RETRY = timedelta(seconds=30)
+INLINE_SHARE = 4  # a plan is kept in its run's course up to this part of the largest value
+PART_MARGIN = 64  # bytes of a value
+
+
+class Desk:
+    """What ticket users can ask of this gateway."""
+
+    def __init__(
+        self,
+        settings: TicketSettings,
+        teams: Mapping[str, Team],
+        store: StoreClient,
+        tickets: Mirror,
+        verifier: Verifier,
+        records: TicketRecords,
+        steps: Steps,
+        book: Book,
+        catalog,
+        clock: Clock,
+        random_source: Random,
+    ) -> None:
+        self._settings = settings
+        self._teams = teams
+        self._store = store
+        self._tickets = tickets
+        self._verifier = verifier
+        self._records = records
+        self._steps = steps
+        self._book = book
+        self._catalog = catalog  # what machine types there are; empty if unknown yet
+        self._clock = clock
+        self._random = random_source
+
+    # -- submit -------------------------------------------------------------------
+
+    def submit(self, body: bytes) -> Answer:
+        """Accept a ticket wholly or not at all, or say how an earlier run of it stands, as its class says."""
+        try:
+            return self._submit(users.parse_submission(body))
+        except Malformed as error:
+            return Answer(400, users.refusal([Fault("", "", str(error))]))
+        except Refused as refused:
+            return Answer(refused.status, users.refusal(refused.faults))
+        except StoreDown as error:
+            return later(f"the state service does not answer: {error}")
+
+    def _submit(self, asked: users.Submission) -> Answer:
+        if not self._tickets.loaded:
+            return later("this gateway is starting")
+        klass = self._settings.classes.get(asked.order.klass)
+        if klass is None:
+            known = ", ".join(self._settings.classes)
+            raise Refused([Fault("class", asked.order.klass, f"there are {known}")], 422)
+        digest = hashlib.blake2b(
+            orjson.dumps([asked.template, asked.parameters], option=orjson.OPT_SORT_KEYS), digest_size=16
+        ).hexdigest()
+        steps = None
+        occupied = 0  # a run's number that an older one still has
+        for _ in range(TRIES):
+            head = self._store.get(HEAD_PREFIX + asked.ticket)
+            number = 0
+            if head is not None:
+                # A ticket that is known is never refused: it is looked up before it is checked.
+                number = head.value["run"]
+                found = self._find(run_id(asked.ticket, number))
+                if found is not None:
+                    end = found if isinstance(found, End) else None
+                    if not runs_again(klass, number, end, self._clock.utc()):
+                        return self._told(run_id(asked.ticket, number), found)
+            if steps is None:
+                steps = self._read(asked)
+            if len(self._records.live) >= self._settings.most_live or self._tickets.get(FULL_KEY) is not None:
+                return Answer(503, error_answer("as many tickets are kept as may be"), FULL_RETRY)
+            run = run_id(asked.ticket, max(number, occupied) + 1)
+            salt = f"{self._random.getrandbits(64):016x}"  # nobody else can have taken its jobs' ids
+            made = plan.plan(salted(run, salt), *steps, asked.order)
+            self._check(made)
+            outcome = self._accept(asked.ticket, run, salt, made, head.version if head else 0, digest)
+            if outcome.ending is Outcome.APPLIED:
+                log.info("ticket %s accepted: %d steps, %d tasks", run, len(made.jobs), made.tasks)
+                return Answer(201, users.accepted_answer(run))
+            if outcome.ending is not Outcome.CONFLICT:
+                break
+            if ENDED_PREFIX + run in outcome.failed:
+                occupied = max(number, occupied) + 1
+        # Refused, or of unknown outcome: if it is applied later after all, the
+        # client's retry finds the run.
+        return later("the state service did not confirm the ticket")
+
+    def _read(self, asked: users.Submission) -> tuple[str, list[plan.Step]]:
+        # Imported by the first ticket, so that a gateway answers before.
+        from kelpjunction.tickets import wire
+
+        template = asked.template
+        document = wire.document_of(template.encode()) if isinstance(template, str) else template
+        return wire.resolve(document, asked.parameters)
+
+    def _check(self, made: Plan) -> None:
+        """Refuse what can never run; raises `Refused` or `StoreDown`."""
+        catalog: Mapping[str, MachineType] = self._catalog()
+        if not catalog:
+            raise StoreDown("the machine types are not known yet")
+        never = [(job, why_never(job.spec, catalog, self._teams)) for job in made.jobs]
+        faults = [Fault(f"steps.{job.name}", "", why) for job, why in never if why]
+        if faults:
+            raise Refused(faults, 422)
+
+    def _accept(self, ticket: str, run: str, salt: str, made: Plan, head_version: int, digest: str):
+        """The one decision: head, course and the first steps' jobs, or nothing of it."""
+        text = pack(made)
+        txn = Transaction().guard(HEAD_PREFIX + ticket, head_version).guard(ENDED_PREFIX + run, 0)
+        kept: str | list = text
+        if len(text) > self._store.limits.value_bytes // INLINE_SHARE:
+            staged = self._stage(text)
+            if staged is None:
+                raise StoreDown("the plan could not be staged")
+            (token, parts), version = staged
+            kept = [token, parts]
+            owner = STAGE_PREFIX + token
+            txn.guard(owner, version).put(owner, {"run": run, "parts": parts})
+        now = self._clock.utc()
+        states = (StepState.WAITING,) * len(made.jobs)
+        spec = made.jobs[0].spec
+        course = Course(spec.klass, spec.team, now, states, kept, salt)
+        sent = self._records.sending(txn, made, course.ready(made), now)
+        course = course.moved(dict.fromkeys(sent, StepState.SENT))
+        txn.guard(TICKET_PREFIX + run, 0).put(TICKET_PREFIX + run, course.record())
+        txn.put(HEAD_PREFIX + ticket, {"run": int(run.rpartition(".")[2]), "content": digest})
+        outcome = self._store.commit(txn.guards, txn.puts, timeout=timedelta(seconds=3))
+        if outcome.ending is Outcome.APPLIED:
+            self._records.keep_plan(run, made)
+            self._tickets.put(TICKET_PREFIX + run, course.record(), outcome.revision)
+        return outcome
+
+    def _stage(self, text: str) -> tuple[tuple[str, int], int] | None:
+        """Write a long plan's parts; their token and number, and their owner's version."""
+        token = f"{self._random.getrandbits(64):016x}"
+        size = self._store.limits.value_bytes - PART_MARGIN
+        parts = [text[at : at + size] for at in range(0, len(text), size)]
+        owner = {"at": self._clock.utc().timestamp(), "parts": len(parts)}
+        outcome = self._store.commit({STAGE_PREFIX + token: 0}, {STAGE_PREFIX + token: owner})
+        if outcome.ending is not Outcome.APPLIED:
+            return None
+        for number, part in enumerate(parts):
+            written = self._store.commit({STAGE_PREFIX + token: outcome.revision}, {part_key(token, number): part})
+            if written.ending is not Outcome.APPLIED:
+                return None
+        return (token, len(parts)), outcome.revision
+
+    # -- show ---------------------------------------------------------------------
+
+    def show(self, text: str) -> Answer:
+        """How a run stands; the latest one if its number is left out."""
+        return self._of(text, lambda run, found: self._told(run, found))
+
+    def _of(self, text: str, answer) -> Answer:
+        """The answer about a run that a user named."""
+        if not self._tickets.loaded:
+            return later("this gateway is starting")
+        try:
+            ticket, number = users.parse_id(text)
+            if number is None:
+                head = self._store.get(HEAD_PREFIX + ticket)
+                number = head.value["run"] if head else None
+            run = run_id(ticket, number or 0)
+            found = self._find(run) if number else None
+            return Answer(404, error_answer("no such ticket")) if found is None else answer(run, found)
+        except Malformed as error:
+            return Answer(404, error_answer(str(error)))
+        except StoreDown as error:
+            return later(f"the state service does not answer: {error}")
+
+    def _find(self, run: str) -> Live | End | None:
+        """A run, no older than what any gateway has told; None if there is none, or it is forgotten."""
+        key = TICKET_PREFIX + run
+        for _ in range(TRIES):
+            live = self._records.live.get(run)
+            if live is not None:
+                if self._verifier.holds({key: live.version}):
+                    return live
+                self._tickets.refresh(key)
+                continue
+            end = self._store.get(ENDED_PREFIX + run)
+            if end is not None:
+                return End.parse(end.value)
+            if self._verifier.holds({key: 0, ENDED_PREFIX + run: 0}):
+                return None
+            self._tickets.refresh(key)
+        raise StoreDown("the ticket's record kept changing")
+
+    def _told(self, run: str, found: Live | End) -> Answer:
+        if isinstance(found, End):
+            return Answer(200, users.final_answer(run, found))
+        made = self._records.plan(found)
+        jobs = {ref: self._book.jobs[ref] for step in made.jobs if (ref := step.spec.ref) in self._book.jobs}
+        counts = {ref: (job.done_count(), job.placed_count()) for ref, job in jobs.items()}
+        return Answer(200, users.live_answer(run, found.course, made, counts))
+
+    # -- cancel -------------------------------------------------------------------
+
+    def cancel(self, text: str) -> Answer:
+        """Cancel a run: once 200 tells so, all its jobs are cancelled.  A run that ended stays as it is."""
+        return self._of(text, self._cancel)
+
+    def _cancel(self, run: str, found: Live | End) -> Answer:
+        if isinstance(found, End):
+            return self._told(run, found)
+        for _ in range(TRIES + len(found.course.states)):
+            live = self._records.live.get(run)
+            if live is None:
+                break
+            txn = self._steps.next(live, live.course.halted(cancelled=True))
+            if txn is not None:
+                self._records.apply([txn], Haste.NOW)
+        found = self._find(run)
+        if isinstance(found, End):
+            return self._told(run, found)
+        return Answer(503, error_answer("the cancellation is under way"), RETRY_AFTER)
--- /dev/null
+++ b/kelpjunction/tickets/driver.py
@@ -0,0 +1,207 @@
+"""Driving tickets: one gateway at a time, under a hold and a rising term, writes what follows from what changed.
+
+Who drives is elected as the nodes elect their leader, only so that the work is
+done once: each write is guarded by the version of the run it changes, so that
+a gateway that stood still while another took over can break nothing.
+"""
+
+import heapq
+import logging
+from datetime import timedelta
+
+from kelpjunction.clock import Clock
+from kelpjunction.jobs.book import JOB_PREFIX, RUN_PREFIX, Book
+from kelpjunction.leadership import Reign
+from kelpjunction.store.client import Ending as Outcome
+from kelpjunction.store.client import Haste, StoreClient, StoreDown, Transaction
+from kelpjunction.store.mirror import Mirror
+from kelpjunction.tickets.classes import TicketSettings
+from kelpjunction.tickets.plan import job_ref
+from kelpjunction.tickets.records import (
+    ENDED_PREFIX,
+    FULL_KEY,
+    HEAD_PREFIX,
+    STAGE_PREFIX,
+    TICKET_PREFIX,
+    TicketRecords,
+    part_key,
+    salted,
+)
+from kelpjunction.tickets.steps import Steps
+
+log = logging.getLogger("tickets")
+
+MOST_AT_ONCE = 200  # runs looked at in a step
+STAGED_FOR = timedelta(minutes=5)  # at most, until a plan that was not accepted is dead
+SWEEP_AT_ONCE = 20  # records forgotten in a sweep
+ROOM_AGAIN = 0.95  # of the remembered tickets, where new ones are taken again
+
+
+class Driver:
+    """Drives all runs while this gateway leads, and forgets what is to be forgotten."""
+
+    def __init__(
+        self,
+        settings: TicketSettings,
+        store: StoreClient,
+        tickets: Mirror,
+        jobs: Mirror,
+        records: TicketRecords,
+        steps: Steps,
+        book: Book,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._tickets = tickets
+        self._records = records
+        self._steps = steps
+        self._book = book
+        self._clock = clock
+        self.reign: Reign | None = None
+        self._changed: set[str] = set()  # runs to look at
+        self._run_of: dict[str, str] = {}  # of each job that is sent and not known to have ended
+        self._refs: dict[str, set[str]] = {}  # the same, by run
+        self._ended: set[str] = set()  # jobs of those that are gone from the live keys
+        self._apart = False  # whether the last transaction failed: each run is then written alone
+        self._remembered: list[tuple[float, str]] | None = None  # (until, run): a heap; None until it was read
+        self.looked_at = 0  # runs, since this process began
+        tickets.listen(TICKET_PREFIX, self._ticket_changed)
+        jobs.listen(JOB_PREFIX, self._job_changed)
+        jobs.listen(RUN_PREFIX, self._part_changed)
+
+    def lead(self, reign: Reign | None) -> None:
+        """This gateway drives from now on, or no longer."""
+        if reign is not None and self.reign is None:
+            self._changed = set(self._records.live)
+            self._remembered = None
+        self.reign = reign
+
+    # -- what changed ---------------------------------------------------------------
+
+    def _ticket_changed(self, key: str, value: dict | None, version: int) -> None:
+        run = key.removeprefix(TICKET_PREFIX)
+        for ref in self._refs.pop(run, ()):
+            self._run_of.pop(ref, None)
+            self._ended.discard(ref)
+        if value is not None:
+            self._changed.add(run)
+            self._index(run)
+
+    def _index(self, run: str) -> None:
+        """Know the jobs of a run's sent steps."""
+        course = self._records.live[run].course
+        refs = self._refs[run] = {job_ref(salted(run, course.salt), place) for place in course.sent}
+        self._run_of |= dict.fromkeys(refs, run)
+
+    def _job_changed(self, key: str, value: dict | None, version: int) -> None:
+        run = self._run_of.get(key.removeprefix(JOB_PREFIX))
+        if run is not None:
+            self._changed.add(run)
+            if value is None:
+                self._ended.add(key.removeprefix(JOB_PREFIX))
+
+    def _part_changed(self, key: str, value: dict | None, version: int) -> None:
+        if value is not None and "f" in value and (run := self._run_of.get(key.split("/")[2])) is not None:
+            self._changed.add(run)
+
+    # -- driving --------------------------------------------------------------------
+
+    def step(self) -> bool:
+        """Write what follows from what changed; whether more is left to do at once.  Raises `StoreDown`."""
+        if self.reign is None:
+            self._changed.clear()
+            return False
+        if self._ended:
+            self._steps.read_ends(set(self._run_of))
+            self._ended.clear()
+        runs = [self._changed.pop() for _ in range(min(MOST_AT_ONCE, len(self._changed)))]
+        txns: list[Transaction] = []
+        again: set[str] = set()
+        try:
+            for run in runs:
+                self.looked_at += 1
+                live = self._records.live.get(run)
+                if live is None:
+                    continue
+                txn = self._steps.next(live)
+                if txn is not None:
+                    txns.append(txn)
+                elif any(ref not in self._book.jobs for ref in self._refs[run]):
+                    again.add(run)  # this gateway's copy of the jobs lags
+            for group in [[txn] for txn in txns] if self._apart else [txns]:
+                if not self._records.apply(group, Haste.TURN):
+                    # One that can't be written must not keep back those merged with it.
+                    self._apart = not self._apart
+                    self._changed.update(runs)
+                    return True
+        except StoreDown:
+            self._changed.update(runs)
+            raise
+        self._apart = False
+        for txn in txns:
+            self._note_ends(txn)
+        more = bool(self._changed)
+        self._changed |= again
+        return more
+
+    def _note_ends(self, txn: Transaction) -> None:
+        for key, value in txn.puts.items():
+            if key.startswith(ENDED_PREFIX):
+                log.info("ticket %s: %s", key.removeprefix(ENDED_PREFIX), value["end"])
+                if self._remembered is not None:
+                    heapq.heappush(self._remembered, (value["until"], key.removeprefix(ENDED_PREFIX)))
+
+    # -- forgetting -----------------------------------------------------------------
+
+    def sweep(self) -> None:
+        """Forget ended runs whose time is over, and plans that were staged and not accepted; raises `StoreDown`."""
+        if self.reign is None:
+            return
+        now = self._clock.utc()
+        if self._remembered is None:
+            found = self._store.scan(ENDED_PREFIX)[0]
+            self._remembered = [(e.value["until"], e.key.removeprefix(ENDED_PREFIX)) for e in found]
+            heapq.heapify(self._remembered)
+        for _ in range(SWEEP_AT_ONCE):
+            if not self._remembered or self._remembered[0][0] > now.timestamp():
+                break
+            if not self._forget(self._remembered[0][1]):
+                break
+            heapq.heappop(self._remembered)
+        self._tell_full()
+        for owner in self._store.scan(STAGE_PREFIX)[0]:
+            old = "at" in owner.value and now.timestamp() - owner.value["at"] > STAGED_FOR.total_seconds()
+            if old:
+                # From here on nobody can accept it.
+                dead = {"dead": True, "parts": owner.value["parts"]}
+                self._store.commit({owner.key: owner.version}, {owner.key: dead}, haste=Haste.TURN)
+            elif owner.value.get("dead"):
+                self._clear(owner.key, owner.value["parts"])
+
+    def _forget(self, run: str) -> bool:
+        ticket, _, number = run.rpartition(".")
+        key = HEAD_PREFIX + ticket
+        head = self._store.get(key)
+        if head is None or head.value["run"] != int(number):
+            outcome = self._store.commit({}, {}, [ENDED_PREFIX + run], haste=Haste.TURN)
+        else:
+            # A new run moves the head: then this one is forgotten alone, next time.
+            outcome = self._store.commit({key: head.version}, {}, [key, ENDED_PREFIX + run], haste=Haste.TURN)
+        return outcome.ending is Outcome.APPLIED
+
+    def _tell_full(self) -> None:
+        count, most = len(self._remembered), self._settings.most_remembered
+        told = self._tickets.get(FULL_KEY)
+        if told is None and count >= most:
+            self._store.commit({FULL_KEY: 0}, {FULL_KEY: count}, haste=Haste.TURN)
+        elif told is not None and count < most * ROOM_AGAIN:
+            self._store.commit({FULL_KEY: told.version}, {}, [FULL_KEY], haste=Haste.TURN)
+
+    def _clear(self, owner: str, parts: int) -> None:
+        """Delete a dead plan's parts, and then what says that there are any."""
+        token, most = owner.removeprefix(STAGE_PREFIX), self._store.limits.txn_ops
+        keys = [*(part_key(token, number) for number in range(parts)), owner]
+        for first in range(0, len(keys), most):
+            if self._store.commit({}, {}, keys[first : first + most], haste=Haste.TURN).ending is not Outcome.APPLIED:
+                return
--- /dev/null
+++ b/kelpjunction/tickets/gateway.py
@@ -0,0 +1,213 @@
+"""One ticket gateway: wires its slices together, serves users and runs its loops.
+
+It is a process of its own.  Nodes know nothing of it: a ticket's steps become
+job records that it commits as a node's intake does, and how they go it sees in
+the records that every node follows.
+"""
+
+import gc
+import logging
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from datetime import timedelta
+
+import gevent
+from gevent.pool import Pool
+
+from kelpjunction.changes import Changes
+from kelpjunction.clock import Clock, SystemClock, seconds
+from kelpjunction.daemon import GC_THRESHOLDS, PAUSE_AFTER_TROUBLE, sleep
+from kelpjunction.fleet.cloud import CATALOG_KEY
+from kelpjunction.http import body_of, not_allowed, respond, server
+from kelpjunction.intake import Answer
+from kelpjunction.jobs.book import Book
+from kelpjunction.leadership import Leadership, Reign
+from kelpjunction.settings import Operators, Platform
+from kelpjunction.store.client import StoreClient, StoreDown
+from kelpjunction.store.mirror import LIVE, Mirror, Verifier
+from kelpjunction.tickets import users
+from kelpjunction.tickets.classes import TicketSettings
+from kelpjunction.tickets.desk import Desk
+from kelpjunction.tickets.driver import Driver
+from kelpjunction.tickets.records import PREFIX, TicketRecords
+from kelpjunction.tickets.steps import Steps
+from kelpjunction.transport import HttpTransport, Transport
+from kelpjunction.wire.cloud import parse_catalog
+from kelpjunction.wire.messages import MachineType
+from kelpjunction.wire.users import HEALTH_PATH, Malformed, error_answer
+
+log = logging.getLogger("tickets")
+
+WRITE_SHARE = 0.2  # of the state service's rate of changes: the nodes' rounds need the most
+REQUEST_SHARE = 0.05  # of its rate of requests, for watches and comparisons
+DRIVE_EVERY = seconds(0.25)
+SWEEP_EVERY = seconds(10)
+MOST_CONNECTIONS = 500
+
+
+class Gateway:
+    """The slices of one gateway, without servers or loops: tests drive it by hand."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        operators: Operators,
+        settings: TicketSettings,
+        transport: Transport,
+        watches: tuple[Transport, Transport],
+        clock: Clock,
+        spawn: Callable,
+        pause: Callable[[timedelta], None],
+        random_source: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.store = StoreClient(transport, platform.store_address, platform.store, clock, pause, WRITE_SHARE)
+        self.jobs = Mirror(self.store, clock, watches[0])
+        self.tickets = Mirror(self.store, clock, watches[1], PREFIX)
+        self.book = Book(Changes())
+        self.jobs.listen(LIVE, self.book.changed)
+        self.request_rate = platform.store.rps * REQUEST_SHARE
+        self._catalog: tuple[int, dict[str, MachineType]] = (0, {})
+        self.leadership = Leadership(
+            replace(platform, node=settings.name), operators, self.store, self.tickets, clock,
+            f"{random_source.getrandbits(64):016x}", self._reign_changed, PREFIX,
+        )  # fmt: skip
+        self.records = TicketRecords(self.store, self.tickets, self.jobs, clock)
+        steps = Steps(settings, self.store, self.jobs, self.records, self.book, clock, watches[0])
+        self.driver = Driver(settings, self.store, self.tickets, self.jobs, self.records, steps, self.book, clock)
+        self.desk = Desk(
+            settings, platform.teams, self.store, self.tickets,
+            Verifier(self.store, spawn, pause, self.request_rate), self.records, steps, self.book, self.catalog,
+            clock, random_source,
+        )  # fmt: skip
+
+    def _reign_changed(self, reign: Reign | None) -> None:
+        self.driver.lead(reign)
+
+    def catalog(self) -> dict[str, MachineType]:
+        """The machine types as the nodes' leader last read them; empty if unknown yet."""
+        entry = self.jobs.get(CATALOG_KEY)
+        if entry is not None and entry.version != self._catalog[0]:
+            self._catalog = entry.version, parse_catalog(entry.value)
+        return self._catalog[1]
+
+    @property
+    def healthy(self) -> bool:
+        return self.jobs.loaded and self.tickets.loaded and self.tickets.fresh
+
+    def follow(self, mirror: Mirror) -> bool:
+        """Take in the next changes; False if the state service was of no use."""
+        try:
+            mirror.follow_once()
+        except StoreDown as error:
+            log.debug("follow: %s", error)
+            return False
+        return True
+
+    def drive(self) -> bool:
+        """A step as the one that drives, if this gateway is; whether another should follow at once."""
+        if not (self.jobs.loaded and self.tickets.loaded):
+            return False
+        try:
+            return self.driver.step()
+        except StoreDown as error:
+            log.debug("step given up: %s", error)
+            return False
+
+    def sweep(self) -> None:
+        try:
+            self.driver.sweep()
+        except StoreDown as error:
+            log.debug("swept later: %s", error)
+
+
+class Application:
+    """What ticket users and a load balancer reach."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
+        try:
+            answer = self._route(environ["REQUEST_METHOD"], environ["PATH_INFO"], environ)
+        except Malformed as error:
+            answer = Answer(400, error_answer(str(error)))
+        except Exception:
+            log.exception("%s %s failed", environ["REQUEST_METHOD"], environ["PATH_INFO"])
+            answer = Answer(500, error_answer("internal error"))
+        return respond(start_response, answer)
+
+    def _route(self, method: str, path: str, environ: dict) -> Answer:
+        desk = self._gateway.desk
+        if path == HEALTH_PATH:
+            return Answer(200 if self._gateway.healthy else 503, b"{}")
+        if path == users.TICKETS_PATH:
+            return desk.submit(body_of(environ)) if method == "POST" else not_allowed()
+        if path.startswith(users.TICKETS_PATH + "/"):
+            name = path.removeprefix(users.TICKETS_PATH + "/")
+            if name.endswith(users.CANCEL_END):
+                if method != "POST":
+                    return not_allowed()
+                body_of(environ)
+                return desk.cancel(name.removesuffix(users.CANCEL_END))
+            return desk.show(name) if method == "GET" else not_allowed()
+        return Answer(404, error_answer("no such path"))
+
+
+class Daemon:
+    """A gateway with its server and loops."""
+
+    def __init__(self, platform: Platform, operators: Operators, settings: TicketSettings) -> None:
+        self._settings = settings
+        self._random = random.Random()
+        self.gateway = Gateway(
+            platform, operators, settings, HttpTransport(), (HttpTransport(1), HttpTransport(1)), SystemClock(),
+            gevent.spawn, sleep, self._random,
+        )  # fmt: skip
+
+    def term(self) -> int | None:
+        """The term this gateway drives in, or None."""
+        reign = self.gateway.leadership.reign
+        return None if reign is None else reign.term
+
+    def run_forever(self) -> None:
+        """Serve until the process is killed."""
+        server(self._settings.listen, Application(self.gateway), Pool(MOST_CONNECTIONS)).start()
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*GC_THRESHOLDS)
+        log.info("%s serves ticket users on %s", self._settings.name, self._settings.listen)
+        loops = [self._follow_jobs, self._follow_tickets, self._lead, self._drive, self._sweep]
+        gevent.joinall([gevent.spawn(self._guard, loop) for loop in loops])
+
+    def _guard(self, loop: Callable[[], None]) -> None:
+        """Run a loop's turns for ever: an odd reply must never end the process."""
+        while True:
+            try:
+                loop()
+            except Exception:
+                log.exception("a turn of %s failed", loop.__name__)
+                sleep(PAUSE_AFTER_TROUBLE)
+
+    def _follow(self, mirror: Mirror) -> None:
+        heard = self.gateway.follow(mirror)
+        sleep(seconds(1 / self.gateway.request_rate) if heard else PAUSE_AFTER_TROUBLE)
+
+    def _follow_jobs(self) -> None:
+        self._follow(self.gateway.jobs)
+
+    def _follow_tickets(self) -> None:
+        self._follow(self.gateway.tickets)
+
+    def _lead(self) -> None:
+        self.gateway.leadership.step()
+        sleep(self.gateway.leadership.beat if self.gateway.tickets.loaded else DRIVE_EVERY)
+
+    def _drive(self) -> None:
+        if not self.gateway.drive():
+            sleep(DRIVE_EVERY)
+
+    def _sweep(self) -> None:
+        sleep(SWEEP_EVERY)
+        self.gateway.sweep()
--- a/kelpjunction/tickets/plan.py
+++ b/kelpjunction/tickets/plan.py
@@ -14,6 +14,7 @@
 import orjson
 
 from kelpjunction.clock import ZERO
+from kelpjunction.wire import users
 from kelpjunction.wire.messages import JobSpec, Priority, Shape
 
 MOST_TASKS = 100_000  # of a job, as PROTOCOL says
@@ -34,10 +35,14 @@
 
 
 class Refused(Exception):
-    """A ticket can't be taken; `faults` lists why, all that were found."""
+    """A ticket can't be taken; `faults` lists why, all that were found.
 
-    def __init__(self, faults: Iterable[Fault]) -> None:
+    `status` is what HTTP says: 400 for a malformed ticket, 422 for one that can never run.
+    """
+
+    def __init__(self, faults: Iterable[Fault], status: int = 400) -> None:
         self.faults = list(faults)
+        self.status = status
         super().__init__("; ".join(map(str, self.faults)))
 
 
@@ -76,7 +81,7 @@
     """What the format has no place for, given with a ticket: who pays, how urgent, what images and how long."""
 
     team: str
-    klass: str = "ticket"
+    klass: str = "ticket"  # the ticket's class, and that of its jobs
     priority: Priority = Priority.NORMAL
     image: str = "none"
     image_gb: float = 0.0
@@ -91,8 +96,7 @@
     """The job that a step becomes."""
 
     name: str
-    ref: str
-    depends_on: tuple[str, ...]  # refs of the jobs that must be done before
+    after: tuple[int, ...]  # the places in the plan of the jobs that must be done before
     spec: JobSpec
 
 
@@ -102,7 +106,17 @@
 
     ticket: str
     name: str
-    jobs: tuple[StepJob, ...] = ()
+    jobs: tuple[StepJob, ...]
+
+    def record(self) -> dict:
+        """All of it, as JSON."""
+        jobs = [[j.name, j.after, users.fields_to_keep(users.submission(j.spec))] for j in self.jobs]
+        return {"ticket": self.ticket, "name": self.name, "jobs": jobs}
+
+    @classmethod
+    def parse(cls, record: dict) -> "Plan":
+        jobs = (StepJob(name, tuple(after), users.job_from_fields(spec)) for name, after, spec in record["jobs"])
+        return cls(record["ticket"], record["name"], tuple(jobs))
 
     @property
     def tasks(self) -> int:
@@ -115,9 +129,9 @@
     return "t-" + hashlib.blake2b(canonical, digest_size=16).hexdigest()
 
 
-def job_ref(ticket: str, number: int) -> str:
-    """The id of a step's job: whoever submits the ticket again submits the same jobs."""
-    digest = hashlib.blake2b(f"{ticket}/{number}".encode(), digest_size=16).digest()
+def job_ref(ticket: str, place: int) -> str:
+    """The id of the job at this place of a ticket's plan."""
+    digest = hashlib.blake2b(f"{ticket}/{place}".encode(), digest_size=16).digest()
     return f"j-{int.from_bytes(digest) % 10**REF_DIGITS:0{REF_DIGITS}d}"
 
 
@@ -126,7 +140,7 @@
     faults: list[Fault] = []
     if len(steps) > MOST_STEPS:
         faults.append(Fault("steps", str(len(steps)), f"a ticket has at most {MOST_STEPS} steps"))
-    refs = {step.name: job_ref(ticket, number) for number, step in enumerate(steps)}
+    places = {step.name: place for place, step in enumerate(_in_turn(steps))}
     jobs: dict[str, StepJob] = {}
     for number, step in enumerate(steps):
         path = f"steps[{number}]"
@@ -136,16 +150,17 @@
             rule = f"a step has 1 to {MOST_TASKS} tasks"
             faults.append(Fault(f"{path}.parameterSpace", str(step.tasks), rule))
         spec = JobSpec(
-            ref=refs[step.name], klass=order.klass, team=order.team, shape=Shape.ARRAY, priority=order.priority,
+            ref=job_ref(ticket, places[step.name]), klass=order.klass, team=order.team, shape=Shape.ARRAY,
+            priority=order.priority,
             tasks=step.tasks, cpus=order.cpus if needs.cpus is None else needs.cpus, gpus=needs.gpus,
             memory=order.memory if needs.memory is None else needs.memory, image=order.image,
             image_gb=order.image_gb, types=needs.types, zone=needs.zone, one_zone=False, spread=False,
             spot=order.spot, estimate=order.estimate, checkpoint=ZERO, save=ZERO, deadline=None,
         )  # fmt: skip
-        jobs[step.name] = StepJob(step.name, spec.ref, tuple(refs[d] for d in step.depends_on), spec)
+        jobs[step.name] = StepJob(step.name, tuple(sorted(places[d] for d in step.depends_on)), spec)
     if faults:
         raise Refused(faults)
-    return Plan(ticket, name, tuple(jobs[step.name] for step in _in_turn(steps)))
+    return Plan(ticket, name, tuple(jobs[step.name] for step in sorted(steps, key=lambda s: places[s.name])))
 
 
 def _in_turn(steps: list[Step]) -> list[Step]:
--- /dev/null
+++ b/kelpjunction/tickets/users.py
@@ -0,0 +1,122 @@
+"""Messages between ticket users and gateways."""
+
+import re
+from typing import Any, NamedTuple
+
+import fastjsonschema
+import orjson
+
+from kelpjunction.clock import seconds
+from kelpjunction.tickets import plan
+from kelpjunction.tickets.course import UNFINISHED, Course, End, Failure, StepState
+from kelpjunction.tickets.plan import Fault, Order, Plan, Refused
+from kelpjunction.wire.messages import Priority
+from kelpjunction.wire.users import Malformed, parse_object
+
+TICKETS_PATH = "/api/tickets"
+CANCEL_END = "/cancel"
+MOST_FAULTS = 20  # that a refusal lists
+
+_ID = r"[A-Za-z0-9][A-Za-z0-9_-]{0,79}"
+_RUN = re.compile(rf"({_ID})(?:\.([1-9][0-9]{{0,8}}))?\Z")
+_NAME = {"type": "string", "minLength": 1, "maxLength": 100}
+_AMOUNT = {"type": "number", "minimum": 0, "maximum": 1e9}
+_check = fastjsonschema.compile(
+    {
+        "type": "object",
+        "required": ["class", "team", "template"],
+        "additionalProperties": False,
+        "properties": {
+            "id": {"type": "string", "pattern": rf"^{_ID}\Z"},
+            "class": _NAME,
+            "team": _NAME,
+            "template": {"type": ["object", "string"]},
+            "parameters": {"type": "object", "additionalProperties": {"type": "string"}, "default": {}},
+            "priority": {"enum": [p.name.lower() for p in Priority], "default": "normal"},
+            "image": _NAME | {"default": "none"},
+            "image_gb": _AMOUNT | {"default": 0},
+            "estimate_s": _AMOUNT | {"default": 60},
+            "cpus": _AMOUNT | {"default": 1},
+            "memory_gb": _AMOUNT | {"default": 1},
+            "spot": {"type": "boolean", "default": False},
+        },
+    }
+)
+
+
+class Submission(NamedTuple):
+    """A ticket as its client sends it: `template` is an object, or text in YAML or JSON."""
+
+    ticket: str
+    template: dict | str
+    parameters: dict[str, str]
+    order: Order
+
+
+def parse_submission(body: bytes) -> Submission:
+    """A submission; raises `Malformed` naming the first wrong field."""
+    fields = parse_object(body)
+    try:
+        _check(fields)
+    except fastjsonschema.JsonSchemaValueException as error:
+        raise Malformed(error.message.removeprefix("data.")) from error
+    order = Order(
+        team=fields["team"], klass=fields["class"], priority=Priority[fields["priority"].upper()],
+        image=fields["image"], image_gb=float(fields["image_gb"]), estimate=seconds(fields["estimate_s"]),
+        cpus=float(fields["cpus"]), memory=float(fields["memory_gb"]), spot=fields["spot"],
+    )  # fmt: skip
+    ticket = fields.get("id") or plan.ticket_id(fields)
+    return Submission(ticket, fields["template"], fields["parameters"], order)
+
+
+def parse_id(text: str) -> tuple[str, int | None]:
+    """A ticket's id and the number of its run, None for the latest; raises `Malformed`."""
+    match = _RUN.match(text)
+    if match is None:
+        raise Malformed("a ticket's id is letters, digits, - and _, with .N for its run N")
+    return match[1], int(match[2]) if match[2] else None
+
+
+def run_id(ticket: str, number: int) -> str:
+    """The id of one run of a ticket: what has one final answer."""
+    return f"{ticket}.{number}"
+
+
+def refusal(faults: list[Fault]) -> bytes:
+    """The body of a refusal that lists what is wrong."""
+    told = [{"path": f.path[:200], "rule": f.rule[:300], "value": f.value[:100]} for f in faults[:MOST_FAULTS]]
+    return orjson.dumps({"error": str(Refused(faults[:1]))[:500], "faults": told, "more": len(faults) - len(told)})
+
+
+def _failure(failure: Failure | None) -> dict:
+    return {"failure": failure._asdict()} if failure else {}
+
+
+def live_answer(run: str, course: Course, made: Plan, counts: dict[str, tuple[int, int]]) -> bytes:
+    """How an unfinished ticket stands; `counts` has the tasks done and running of each job that is known."""
+    state = "stopping" if course.stopping else "running" if any(n for _, n in counts.values()) else "pending"
+    if state == "pending" and StepState.DONE in course.states:
+        state = "running"
+    steps = []
+    for step, now in zip(made.jobs, course.states, strict=True):
+        done, running = counts.get(step.spec.ref, (step.spec.tasks if now is StepState.DONE else 0, 0))
+        fields: dict[str, Any] = {"step": step.name, "state": now.name.lower()}
+        if now is not StepState.WAITING:
+            fields |= {"job": step.spec.ref, "done": done, "running": running}
+        steps.append(fields | {"tasks": step.spec.tasks})
+    return orjson.dumps({"ticket": run, "state": state, "steps": steps} | _failure(course.failure))
+
+
+def final_answer(run: str, end: End) -> bytes:
+    """A ticket's one final answer."""
+    counts = {s.name.lower(): n for s in StepState if s not in UNFINISHED and (n := end.states.count(s))}
+    return orjson.dumps({"ticket": run, "state": end.ending.value, "steps": counts} | _failure(end.failure))
+
+
+def accepted_answer(run: str) -> bytes:
+    return orjson.dumps({"ticket": run, "state": "pending"})
+
+
+def is_final(answer: dict) -> bool:
+    """Whether an answer about a ticket will never change."""
+    return answer.get("state") in ("done", "failed", "cancelled")
--- a/kelpjunction/tickets/wire.py
+++ b/kelpjunction/tickets/wire.py
@@ -26,9 +26,15 @@
 NOWHERE = Path("/")  # paths in parameters are the worker's business
 
 
-def read(text: bytes, parameters: dict[str, str]) -> tuple[str, list[Step], dict]:
-    """A ticket's name, its steps with parameters resolved, and its content; raises `Refused`."""
-    document = _document(text)
+def read(text: bytes, parameters: dict[str, str]) -> tuple[str, list[Step]]:
+    """A ticket's name and its steps with parameters resolved; raises `Refused`."""
+    return resolve(document_of(text), parameters)
+
+
+def resolve(document: dict, parameters: dict[str, str]) -> tuple[str, list[Step]]:
+    """The same from JSON that was decoded before."""
+    if _depth(document) > MAX_DEPTH:
+        raise Refused([Fault("", "", f"a ticket is nested at most {MAX_DEPTH} deep")])
     template = _decoded(document)
     try:
         values = preprocess_job_parameters(
@@ -43,10 +49,19 @@
         raise Refused(_faults(str(error))) from error
     except ValueError as error:
         raise Refused(Fault("parameterDefinitions", "", line) for line in str(error).splitlines()) from error
-    return job.name, [_step(step) for step in job.steps], document
+    return job.name, [_step(step) for step in job.steps]
+
+
+def _depth(document: Any) -> int:
+    """How deep objects and lists are nested."""
+    depth, level = 0, [document]
+    while level := [thing for thing in level if isinstance(thing, dict | list)]:
+        depth += 1
+        level = [part for thing in level for part in (thing.values() if isinstance(thing, dict) else thing)]
+    return depth
 
 
-def _document(text: bytes) -> dict:
+def document_of(text: bytes) -> dict:
     """JSON or YAML as an object; refused by size and depth before anything is made of it."""
     if len(text) > MAX_BYTES:
         raise Refused([Fault("", f"{len(text)} bytes", f"a ticket has at most {MAX_BYTES} bytes")])
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,476 @@
+"""Ticket gateways in the simulated world: whole or not at all, as often as the class allows, one final answer."""
+
+from datetime import UTC, datetime, timedelta
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kelpjunction.clock import ZERO
+from kelpjunction.intake import Answer
+from kelpjunction.lab.account import Account
+from kelpjunction.lab.farm import BROKEN_IMAGE, PAUSE, TEAMS, Farm, FarmWorld, ticket, ticket_class
+from kelpjunction.settings import SettingsError
+from kelpjunction.tickets.classes import Runs, load_tickets, runs_again
+from kelpjunction.tickets.course import Course, End, Ending, StepState
+from kelpjunction.tickets.gateway import Application
+from kelpjunction.tickets.plan import Order, Plan, Step, plan
+from kelpjunction.tickets.records import HEAD_PREFIX, PART_PREFIX, STAGE_PREFIX, TICKET_PREFIX
+
+NOW = datetime(2026, 3, 1, tzinfo=UTC)
+
+
+def farm(**how) -> FarmWorld:
+    world = FarmWorld(**{"seed": 1, "machines": 9, "capacity": 12, "teams": TEAMS} | how)
+    world.run(6)
+    return world
+
+
+def submit(world: FarmWorld, fields: dict, gateway: str | None = None) -> tuple[int | None, dict]:
+    return world.ask_gateway("submit", orjson.dumps(fields), gateway)
+
+
+def state(world: FarmWorld, run: str, gateway: str | None = None) -> str | None:
+    return world.ask_gateway("show", run, gateway)[1].get("state")
+
+
+def ended(world: FarmWorld, run: str, within: float = 90.0) -> dict:
+    assert world.run(within, lambda: state(world, run) in ("done", "failed", "cancelled")), state(world, run)
+    return world.ask_gateway("show", run)[1]
+
+
+def records(world: FarmWorld, *prefixes: str) -> list[str]:
+    return [key for key in world.store.data if key.startswith(prefixes or ("t/head", "t/l/ticket", "t/end", "t/part"))]
+
+
+# -- from acceptance to the one answer ----------------------------------------------------
+
+
+@pytest.mark.parametrize("kind", ["single", "chain", "diamond", "wide", "long"])
+def test_a_ticket_is_done_when_all_its_steps_are(kind):
+    world = farm()
+    status, answer = submit(world, ticket(kind, "once", 1, tasks=70 if kind == "wide" else 2))
+    assert (status, answer["state"]) == (201, "pending")
+    final = ended(world, answer["ticket"])
+    assert final["state"] == "done"
+    assert set(final["steps"]) == {"done"}
+    assert all(state(world, answer["ticket"], name) == "done" for name in world.gateways)
+    assert world.broken == []
+
+
+def test_steps_start_after_those_they_depend_on():
+    world = farm()
+    submit(world, ticket("chain", "once", 1))
+    assert world.run(30, lambda: [s["state"] for s in steps(world)] == ["done", "sent", "waiting"])
+    first, second, third = steps(world)
+    assert (first["done"], third.get("job")) == (3, None)
+    assert f"l/job/{second['job']}" in world.store.data
+
+
+def steps(world: FarmWorld) -> list[dict]:
+    return world.ask_gateway("show", "chain-1")[1]["steps"]
+
+
+def test_a_ticket_outlives_the_gateway_that_drives_it():
+    world = farm()
+    submit(world, ticket("chain", "once", 1, run=6.0))
+    for _ in range(2):
+        assert world.run(20, lambda: world.driving() is not None)
+        world.gateways[world.driving()] = None
+        world.run(4)
+        for name in [n for n, g in world.gateways.items() if g is None]:
+            world.start_gateway(name)
+    assert ended(world, "chain-1.1")["state"] == "done"
+
+
+def test_a_gateway_that_stood_still_can_not_start_a_step_of_a_cancelled_ticket():
+    """Between its last look and its write the ticket was cancelled through another: the write fails."""
+    world = farm()
+    submit(world, ticket("chain", "once", 1))
+    assert world.run(10, lambda: world.driving() is not None)
+    stale = world.gateways[world.driving()]
+    other = next(n for n in world.gateways if n != stale.settings.name)
+    world.asleep[stale.settings.name] = world.clock.now + timedelta(hours=1)
+    assert world.run(30, lambda: not records(world, "l/job/")), "the first step ends unseen"
+    assert world.ask_gateway("cancel", "chain-1", other)[1]["state"] == "cancelled"
+    jobs = set(world.jobs)
+    stale.driver._changed.add("chain-1.1")
+    stale.drive()
+    world.asleep.clear()
+    world.run(50)
+    assert set(world.jobs) == jobs
+    assert all(state(world, "chain-1", name) == "cancelled" for name in world.gateways)
+
+
+# -- whole or not at all --------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("fate", ["before", "after"])
+def test_a_crash_at_any_request_of_an_acceptance_leaves_all_or_nothing(fate):
+    """The plan is longer than a record may be: owner, parts and acceptance are transactions of their own."""
+    fields = ticket("long", "once", 1, tasks=1)
+    crashes = 0
+    for at in range(20):
+        world = farm(gateways=1, machines=3)
+        left = [at]
+
+        def kill(name: str, path: str, left=left) -> str | None:
+            left[0] -= 1
+            return fate if left[0] == -1 else None
+
+        world.kill_at = kill
+        status, _ = submit(world, fields)
+        world.kill_at = lambda name, path: None
+        if status is not None:
+            assert status == 201
+            break
+        crashes += 1
+        whole = bool(records(world, TICKET_PREFIX))
+        assert bool(records(world, HEAD_PREFIX)) is whole
+        world.run(10)
+        assert submit(world, fields)[0] == (200 if whole else 201)
+        assert len(records(world, TICKET_PREFIX, "t/end/")) == 1
+        if at == 3 and not whole:
+            assert ended(world, "long-1.1", 200)["state"] == "done"
+            world.run(330)
+            assert records(world, PART_PREFIX, STAGE_PREFIX) == [], "what was staged in vain is gone"
+    assert crashes >= 6
+
+
+def test_a_plan_that_was_swept_while_its_gateway_stood_still_is_staged_anew():
+    """Its gateway stops before it accepts, and the parts are gone by then: the acceptance must fail."""
+    world = farm(machines=3)
+    fields = ticket("long", "once", 1, tasks=1)
+    slow = "gate-0"
+
+    def wait(name: str, path: str) -> None:
+        staged = [world.store.data[key][0]["parts"] for key in records(world, STAGE_PREFIX)]
+        if name == slow and path == "/commit" and staged == [len(records(world, PART_PREFIX))] and not waited:
+            waited.append(path)
+            world.asleep[slow] = world.clock.now + timedelta(minutes=20)
+            world.run(600, lambda: not records(world, PART_PREFIX))
+            del world.asleep[slow]
+
+    waited: list[str] = []
+    world.kill_at = wait
+    status, _ = submit(world, fields, slow)
+    assert (status, waited) == (201, ["/commit"])
+    token = world.store.data["t/l/ticket/long-1.1"][0]["plan"][0]
+    assert all(token in key for key in records(world, PART_PREFIX, STAGE_PREFIX))
+    assert ended(world, "long-1.1")["state"] == "done"
+
+
+@pytest.mark.parametrize(
+    ("change", "status", "said"),
+    [
+        ({"team": "nobody"}, 422, "unknown team nobody"),
+        ({"cpus": 900.0}, 422, "a task fits no allowed machine type"),
+        ({"class": "nope"}, 422, "there are once"),
+        ({"template": "steps: ["}, 400, "neither JSON nor YAML"),
+        ({"id": "a/b"}, 400, "id"),
+        ({"parameters": {"F": 1}}, 400, "parameters"),
+        ({"template": {"specificationVersion": "jobtemplate-2023-09", "name": "x", "steps": []}}, 400, "steps"),
+    ],
+)
+def test_a_refusal_names_what_is_wrong_and_leaves_no_record(change, status, said):
+    world = farm(machines=3)
+    got, answer = submit(world, ticket("chain", "once", 1) | change)
+    assert got == status, answer
+    assert said in orjson.dumps(answer).decode()
+    assert records(world) == []
+
+
+def test_several_faults_are_told_at_once():
+    world = farm(machines=3)
+    status, answer = submit(world, ticket("chain", "once", 1) | {"cpus": 900.0})
+    assert (status, [f["path"] for f in answer["faults"]]) == (422, ["steps.a", "steps.b", "steps.c"])
+
+
+# -- as often as its class allows ------------------------------------------------------------
+
+
+def test_how_often_a_ticket_runs():
+    def end(ending: Ending, ago: timedelta) -> End:
+        return End(ending, NOW - ago, NOW - ago + timedelta(days=1), (), None)
+
+    done, failed = end(Ending.DONE, PAUSE / 2), end(Ending.FAILED, PAUSE / 2)
+    paused, forgotten = end(Ending.DONE, PAUSE), end(Ending.DONE, timedelta(days=1))
+    table = {
+        Runs.ONCE: [(1, None, False), (1, done, False), (1, failed, False), (1, forgotten, True)],
+        Runs.AFTER_FAILURE: [(1, None, False), (1, done, False), (1, failed, True), (2, failed, False)],
+        Runs.AFTER_PAUSE: [(1, None, False), (1, failed, False), (1, done, False), (9, paused, True)],
+        Runs.ALWAYS: [(1, None, True), (7, done, True)],
+    }
+    for runs, cases in table.items():
+        klass = ticket_class("c", runs)
+        for run, last, again in cases:
+            assert runs_again(klass, run, last, NOW) is again, (runs, run, last)
+
+
+def test_the_same_ticket_through_two_gateways_runs_once():
+    """Content makes the id where the client gives none, however its keys are ordered."""
+    world = farm()
+    fields = {k: v for k, v in ticket("chain", "once", 1).items() if k != "id"}
+    first = submit(world, fields, "gate-0")
+    again = submit(world, dict(reversed(fields.items())), "gate-1")
+    assert (first[0], again[0]) == (201, 200)
+    assert first[1]["ticket"] == again[1]["ticket"]
+    assert len(records(world, TICKET_PREFIX)) == 1
+
+
+def test_a_failed_ticket_runs_again_as_often_as_its_class_says_and_each_run_keeps_its_answer():
+    world = farm()
+    fields = ticket("failing", "after-failure", 1)
+    assert submit(world, fields)[0] == 201
+    first = ended(world, "failing-1.1")
+    assert first["state"] == "failed"
+    assert first["failure"]["step"] == "a"
+    assert first["failure"]["unfinished"] == 3
+    assert submit(world, fields)[1] == {"ticket": "failing-1.2", "state": "pending"}
+    ended(world, "failing-1.2")
+    assert submit(world, fields)[1]["ticket"] == "failing-1.2"
+    assert world.ask_gateway("show", "failing-1.1")[1] == first
+
+
+def test_what_is_remembered_is_forgotten_after_its_window():
+    short = ticket_class("once", Runs.ONCE, remember=timedelta(seconds=60))
+    world = farm(classes={"once": short}, machines=3)
+    fields = ticket("single", "once", 1)
+    submit(world, fields)
+    ended(world, "single-1.1")
+    assert submit(world, fields)[0] == 200
+    for name in world.gateways:  # the memory survives all of them
+        world.gateways[name] = None
+        world.start_gateway(name)
+    world.run(5)
+    assert submit(world, fields)[0] == 200
+    world.run(90)
+    assert records(world) == []
+    assert state(world, "single-1") is None
+    assert submit(world, fields)[0] == 201
+
+
+# -- failing and cancelling -------------------------------------------------------------------
+
+
+def course(*states: StepState) -> Course:
+    return Course("c", "red", NOW, states, "", "")
+
+
+def diamond() -> Plan:
+    links = {"a": (), "b": ("a",), "c": ("a",), "d": ("b", "c")}
+    return plan("t-1", "n", [Step(name, 1, depends_on=after) for name, after in links.items()], Order("red"))
+
+
+def test_a_failed_step_ends_what_depends_on_it_and_the_rest_as_its_class_says():
+    w, s, d, f, c = StepState
+    made, now = diamond(), course(d, s, s, w)
+    after = now.moved({1: f}).without_hope(made)
+    assert after.states == (d, f, s, c)
+    assert now.moved({1: f}).halted().states == (d, f, s, c)
+    assert course(w, w, w, w).ready(made) == [0]
+    assert course(d, d, s, w).ready(made) == []
+    with pytest.raises(ValueError, match="can't go from DONE"):
+        now.moved({0: s})
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.sampled_from(StepState)), max_size=12), st.integers(0, 12))
+def test_a_course_ends_once_and_its_record_holds_all_of_it(moves, halt_at):
+    now = course(*[StepState.WAITING] * 4)
+    for number, (place, to) in enumerate(moves):
+        if number == halt_at and now.ending is None:
+            now = now.halted(cancelled=True)
+        was = now.ending
+        try:
+            now = now.moved({place: to})
+        except ValueError:
+            continue
+        assert was is None, "nothing moves once all steps have ended"
+        assert Course.parse(orjson.loads(orjson.dumps(now.record()))) == now
+    assert now.ending is not Ending.DONE or now.states == (StepState.DONE,) * 4
+
+
+@pytest.mark.parametrize("after", [0.0, 4.0, 8.0])
+def test_a_cancelled_ticket_ends_at_once_with_all_its_jobs(after):
+    world = farm()
+    submit(world, ticket("long", "once", 1, run=30.0, tasks=1))
+    submit(world, ticket("chain", "once", 1, run=4.0))
+    world.run(after)
+    for run in ("long-1", "chain-1"):
+        status, answer = world.ask_gateway("cancel", run)
+        assert (status, answer["state"]) == (200, "cancelled")
+        assert world.ask_gateway("cancel", run)[1] == answer
+    assert all(v[0].get("cancelled") for k, v in world.store.data.items() if k.startswith("l/job/"))
+    assert world.run(world.times.cancel.total_seconds(), lambda: not world.running())
+    assert [state(world, run) for run in ("long-1", "chain-1")] == ["cancelled", "cancelled"]
+
+
+def test_a_ticket_that_is_done_can_not_be_cancelled():
+    world = farm()
+    submit(world, ticket("single", "once", 1))
+    done = ended(world, "single-1")
+    assert world.ask_gateway("cancel", "single-1") == (200, done)
+
+
+def test_a_job_that_somebody_else_cancels_fails_its_ticket():
+    world = farm()
+    submit(world, ticket("chain", "once", 1, run=20.0))
+    job = world.ask_gateway("show", "chain-1")[1]["steps"][0]["job"]
+    assert world.abort(job) == 200
+    failure = ended(world, "chain-1")["failure"]
+    assert (failure["step"], "cancelled by somebody else" in failure["why"]) == ("a", True)
+
+
+def test_steps_that_do_not_depend_on_a_failed_one_are_stopped_or_finish():
+    """A step fails while another runs."""
+    for klass, others in (("once", {"failed": 1, "cancelled": 1}), ("finish", {"failed": 1, "done": 1})):
+        world = farm()
+        fields = ticket("diamond", klass, 1, run=40.0)
+        template = fields["template"]
+        template["steps"] = [step | {"dependencies": []} for step in template["steps"][:2]]
+        for step in template["steps"]:
+            del step["dependencies"]
+        submit(world, fields)
+        first = world.ask_gateway("show", "diamond-1")[1]["steps"][0]["job"]
+        world.jobs[first] = world.job(first) | {"bundle": BROKEN_IMAGE}
+        assert ended(world, "diamond-1", 150)["steps"] == others
+
+
+def test_while_the_state_service_is_out_everything_is_told_to_come_back():
+    world = farm(machines=3)
+    submit(world, ticket("chain", "once", 1))
+    world.fault("outage")
+    assert [submit(world, ticket("chain", "once", n))[0] for n in (1, 2)] == [503, 503]
+    assert [world.ask_gateway(what, "chain-1")[0] for what in ("show", "cancel")] == [503, 503]
+
+
+# -- the same accounts --------------------------------------------------------------------------
+
+
+def test_a_ticket_is_charged_to_the_millisecond_what_its_native_twin_is():
+    held = []
+    for native in (False, True):
+        world = farm(gateways=1)
+        account = Account(world.store, world.clock)
+        fields = ticket("wide", "once", 1, run=7.0, tasks=70)
+        if native:
+            what = {"crew": "farm", "stripe": "once", "cpus": 1.0, "ram_gb": 1.0, "bundle": "img", "expect_s": 7.0}
+            assert world.submit("j-1", 70, image_gb=1.0, **what) == 201
+        else:
+            assert submit(world, fields)[0] == 201
+        assert world.run(200, lambda world=world: not records(world, "l/job/"))
+        held.append(account.by_team())
+    assert held[0] == held[1] != {}
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_tickets_and_native_jobs_together_through_kills_and_outages(seed):
+    """Shortened; benchmarks/tickets.py plays a thousand."""
+    verdict = Farm(seed, tickets=40, length=120.0).play()
+    assert verdict.problems == []
+    assert verdict.ledger == verdict.account
+    assert verdict.faults >= 5
+    assert set(verdict.ends) == {"done", "failed", "cancelled"}
+
+
+# -- the entry ------------------------------------------------------------------------------------
+
+
+def ask(world: FarmWorld, method: str, path: str, body: bytes = b"", length: int | None = None) -> Answer:
+    """Through the WSGI application, as HTTP brings it."""
+    import io
+
+    told = []
+    environ = {
+        "REQUEST_METHOD": method, "PATH_INFO": path, "wsgi.input": io.BytesIO(body),
+        "CONTENT_LENGTH": str(len(body) if length is None else length),
+    }  # fmt: skip
+    gateway = next(g for g in world.gateways.values() if g is not None)
+    content = b"".join(Application(gateway)(environ, lambda status, headers: told.append((status, dict(headers)))))
+    (status, headers) = told[0]
+    return Answer(int(status[:3]), content, headers.get("Retry-After"))
+
+
+WORLD: list[FarmWorld] = []
+
+
+def shared() -> FarmWorld:
+    if not WORLD:
+        WORLD.append(farm(machines=3, gateways=1))
+    return WORLD[0]
+
+
+json = st.recursive(
+    st.none() | st.booleans() | st.integers(-(10**20), 10**20) | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner, max_size=4),
+    max_leaves=12,
+)
+
+
+@settings(max_examples=80)
+@given(st.data())
+def test_whatever_comes_in_is_refused_in_plain_words_and_leaves_nothing(data):
+    """Bytes, JSON of any form, and a good submission with one field replaced."""
+    fields = ticket("chain", "once", 1)
+    name = data.draw(st.sampled_from(sorted(fields)))
+    odd = data.draw(json)
+    body = data.draw(
+        st.sampled_from([data.draw(st.binary(max_size=60)), orjson_of(odd), orjson_of(fields | {name: odd})])
+    )
+    world = shared()
+    answer = ask(world, "POST", "/api/tickets", body)
+    if answer.status == 201:
+        run = orjson.loads(answer.body)["ticket"]
+        assert ask(world, "POST", f"/api/tickets/{run}/cancel").status == 200
+        return
+    assert answer.status in (200, 400, 422)
+    assert answer.status == 200 or orjson.loads(answer.body)["error"]
+
+
+def orjson_of(value) -> bytes:
+    try:
+        return orjson.dumps(value)
+    except TypeError:  # an integer beyond 64 bits
+        return str(value).encode()
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status"),
+    [
+        ("GET", "/api/tickets", b"", 405),
+        ("GET", "/api/tickets/t-1", b"", 404),
+        ("GET", "/api/tickets/../x", b"", 404),
+        ("GET", "/api/tickets/a.0", b"", 404),
+        ("POST", "/api/tickets/t-1/cancel", b"{}", 404),
+        ("PUT", "/api/tickets/t-1/cancel", b"", 405),
+        ("POST", "/api/tickets", b"x" * 70_000, 400),
+        ("POST", "/api/tickets", b"[" * 2_000, 400),
+        ("GET", "/healthz", b"", 200),
+        ("GET", "/", b"", 404),
+    ],
+)
+def test_answers_at_the_entry(method, path, body, status):
+    assert ask(shared(), method, path, body).status == status
+
+
+@pytest.mark.parametrize("values", ["1-1000000000", "1-100000,100001-200000"])
+def test_expansions_to_millions_are_refused_before_they_are_expanded(values):
+    fields = ticket("single", "once", 9)
+    define = {"name": "F", "type": "INT", "range": values}
+    space = {"taskParameterDefinitions": [define, define | {"name": "G"}], "combination": "F * G"}
+    fields["template"]["steps"][0]["parameterSpace"] = space
+    answer = ask(shared(), "POST", "/api/tickets", orjson.dumps(fields))
+    assert answer.status == 400
+    assert "a step has 1 to 100000 tasks" in orjson.loads(answer.body)["error"]
+
+
+def test_wrong_settings_are_named(tmp_path):
+    file = tmp_path / "tickets.json"
+    file.write_text('{"name": "g", "listen": "127.0.0.1:1", "classes": {"c": {"runs": "sometimes"}}}')
+    with pytest.raises(SettingsError, match=r"classes\.c\.runs"):
+        load_tickets(file)
+    file.write_text('{"name": "g", "listen": "127.0.0.1:1", "classes": {"c": {"runs": "once"}}}')
+    klass = load_tickets(file).klass("c")
+    assert (klass.runs, klass.remember, klass.pause > ZERO) == (Runs.ONCE, timedelta(days=31), True)
+    assert load_tickets(file).klass("gone").runs is Runs.ONCE
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -10,6 +10,7 @@
 from kelpjunction import logs
 from kelpjunction.cli import main
 from kelpjunction.cli.jobs import Caller
+from kelpjunction.lab.farm import FarmWorld
 from kelpjunction.lab.scenario import Player, load
 from kelpjunction.lab.site import Refused
 from kelpjunction.lab.world import Weather, World
@@ -43,7 +44,7 @@
 
 
 def test_a_broken_rule_fails_the_scenario():
-    site = World(machines=3)
+    site = FarmWorld(machines=3)
     player = Player(site, load(ROOT / "examples" / "demo.toml"))
     site.broken.append("ran_twice: j-100/0")
     assert player.play() is False
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -36,7 +36,7 @@
 def faults(document, **parameters: str) -> list[str]:
     """Everything that is wrong with a ticket, each as a line."""
     with pytest.raises(Refused) as refused:
-        name, steps, _ = read(document, **parameters) if isinstance(document, dict) else wire.read(document, {})
+        name, steps = read(document, **parameters) if isinstance(document, dict) else wire.read(document, {})
         plan("t-1", name, steps, ORDER)
     return [str(fault) for fault in refused.value.faults]
 
@@ -62,11 +62,11 @@
         step("match", dependencies=[{"dependsOn": "fetch"}], hostRequirements=asked),
         step("fetch"),
     )
-    name, steps, _ = read(document)
+    name, steps = read(document)
     made = plan("t-1", name, steps, ORDER)
     assert [j.name for j in made.jobs] == ["fetch", "match", "publish"]
-    fetch, match, publish = made.jobs
-    assert (match.depends_on, publish.depends_on) == ((fetch.ref,), (match.ref, fetch.ref))
+    _, match, publish = made.jobs
+    assert (match.after, publish.after) == ((0,), (0, 1))
     spec = match.spec
     assert (spec.cpus, spec.memory, spec.gpus) == (4.0, 8.0, 1.0)
     assert (spec.zone, spec.types) == ("regina", ("big-box", "photo-box"))
@@ -77,7 +77,7 @@
     space = {"name": "F", "type": "CHUNK[INT]", "range": "1-95", "chunks": {
         "defaultTaskCount": 10, "rangeConstraint": "CONTIGUOUS"}}  # fmt: skip
     document = template(step("c", parameterSpace={"taskParameterDefinitions": [space]}), extensions=["TASK_CHUNKING"])
-    _, (chunked,), _ = read(document)
+    _, (chunked,) = read(document)
     assert chunked.tasks == 10
     bounds = [tuple(map(int, chunked.parameters(i)["F"].split("-"))) for i in range(10)]
     assert [n for first, last in bounds for n in range(first, last + 1)] == list(range(1, 96))
@@ -100,7 +100,7 @@
         ],
         "combination": "N * Frame * (W, I)",
     }
-    _, (only,), _ = read(template(step("s", parameterSpace=space)))
+    _, (only,) = read(template(step("s", parameterSpace=space)))
     points = [tuple(only.parameters(i)[n] for n in ("N", "Frame", "W", "I")) for i in range(only.tasks)]
     wanted = {
         (str(n), str(f), w, str(i)) for n, f, (i, w) in product(numbers, range(1, frames + 1), list(enumerate(words)))
@@ -192,7 +192,7 @@
         else:
             holder[key] = data.draw(st.one_of(st.none(), st.integers(-5, 10**12), st.text(max_size=5), st.just([{}])))
     try:
-        name, steps, _ = wire.read(yaml.safe_dump(document).encode(), {})
+        name, steps = wire.read(yaml.safe_dump(document).encode(), {})
         made = plan("t-1", name, steps, ORDER)
     except Refused as refused:
         assert refused.faults
