--- a/kelpjunction/ledger/keeper.py
+++ b/kelpjunction/ledger/keeper.py
@@ -227,8 +227,11 @@
         open_ = self._open(at)
         ended = self._read_ended()
         now = self._now(revision, open_, ended)
-        chosen = self._due(at, now)
-        self._looked = revision
+        chosen, early = self._due(at, now)
+        # What moved and is not due yet must be looked at again, also if
+        # nothing else happens: the last jobs of a day were closed with the
+        # first of the next.
+        self._looked = 0 if early else revision
         if not chosen:
             return
         number, previous = self._head.number, self._head.hash
@@ -282,8 +285,10 @@
             found[job.team] = over, still
         return found
 
-    def _due(self, at: int, now: Mapping[str, tuple[Amounts, Amounts]]) -> dict[int, list[str]]:
-        """The pages to close now, with their teams; new teams get a place as far as a transaction goes.
+    def _due(self, at: int, now: Mapping[str, tuple[Amounts, Amounts]]) -> tuple[dict[int, list[str]], bool]:
+        """The pages to close now, with their teams, and whether others moved that are not due yet.
+
+        New teams get a place as far as a transaction goes.
 
         A page is due a period after its last closing if anything was held, or
         if work waits whose factor has changed meanwhile: nothing is written
@@ -291,6 +296,7 @@
         """
         waiting = {self._book.jobs[ref].spec.team for ref in self._book.waiting}
         names: dict[int, list[str]] = {}
+        early = False
         late = self._mirror.revision - self._head.revision > FAR_BEHIND
         for number, page in self._pages.items():
             if at <= page.at:
@@ -302,6 +308,8 @@
             )
             if moved and (late or at - page.at >= self._period // MILLISECOND):
                 names[number] = list(page.balances)
+            else:
+                early = early or moved
         new = sorted(name for name in now if name not in self._page_of and any(map(any, now[name])))
         # A page and its entry are two changes, each at most a value's size.
         limits = self._store.limits
@@ -314,7 +322,7 @@
             if not ahead and (number in chosen or len(chosen) < most):
                 chosen.setdefault(number, list(self._pages[number].balances) if number in self._pages else [])
                 chosen[number].append(name)
-        return chosen
+        return chosen, early
 
     def _place_for(self, name: str, chosen: Mapping[int, list[str]]) -> int:
         """The page for a new team: the last one with room, else a new one."""
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -435,6 +435,19 @@
     assert [policy["half_life"] for policy in said] == [WEEK, 3_600_000]
 
 
+@pytest.mark.parametrize("run", [3.0, 6.0, 9.0, 12.0])
+def test_the_last_job_of_a_day_is_closed_though_nothing_follows(run):
+    """It ended sooner after a closing than the next was due, and was looked at again only once something changed."""
+    world = World(machines=6, operators=operators(period=timedelta(seconds=20)))
+    account = Account(world.store, world.clock)
+    world.run(6)
+    submit(world, run_s=run)
+    assert world.run(60, lambda: world.poll("j-1") == "done")
+    world.run(40)
+    sums = {team: amounts for team, amounts in total(entries(world)).items() if any(amounts)}
+    assert sums == account.by_team() != {}
+
+
 def test_nothing_is_written_while_nothing_runs_and_nobody_waits():
     world, account = ledgered()
     submit(world, run_s=4.0)
