Ticket gateway: a known ticket keeps its class, what lags asks less, guards with traces

Cause, from rereading and from taking guards out one at a time: a client could run a ticket of class once again by naming another class; ends that another gateway wrote were not forgotten until the next takeover; a copy of the jobs that lagged cost two requests a ticket; a run whose steps were all done could still be told cancelled; the guards of the run's version, of the cancelled job, of a staged part and the comparison behind a poll had no trace that failed.

Change: the class is kept with the head; the driver notes each end it sees; a lagging copy waits for its revision; all steps done is done; a step's job that no record holds is refused; decoded templates are kept (half the work of a ticket that comes with other parameters). Each guard has its trace.

--- a/kelpjunction/lab/farm.py
+++ b/kelpjunction/lab/farm.py
@@ -209,7 +209,7 @@
         self._at = now + self._farm.random.uniform(1, 5)
         if self._run is None:
             self._submit()
-        elif self._farm.random.random() < 0.02:
+        elif self._farm.random.random() < 0.05:
             self._farm.note(self._run, self._world.ask_gateway("cancel", self._run))
         else:
             answer = self._world.ask_gateway("show", self._run)
--- a/kelpjunction/tickets/classes.py
+++ b/kelpjunction/tickets/classes.py
@@ -10,7 +10,7 @@
 
 from kelpjunction.clock import seconds
 from kelpjunction.settings import SettingsError
-from kelpjunction.tickets.course import End, Ending
+from kelpjunction.tickets.course import End, Final
 
 SCHEMA = orjson.loads(Path(__file__).with_name("tickets.schema.json").read_bytes())
 _check = fastjsonschema.compile(SCHEMA)
@@ -83,5 +83,5 @@
     if now >= end.until:
         return True  # it is forgotten, whether or not its records are gone yet
     if klass.runs is Runs.AFTER_FAILURE:
-        return end.ending is Ending.FAILED and run < klass.times
+        return end.final is Final.FAILED and run < klass.times
     return klass.runs is Runs.AFTER_PAUSE and now - end.at >= klass.pause
--- a/kelpjunction/tickets/course.py
+++ b/kelpjunction/tickets/course.py
@@ -31,7 +31,7 @@
 UNFINISHED = frozenset(_MAY)
 
 
-class Ending(Enum):
+class Final(Enum):
     """A ticket's final answer."""
 
     DONE = "done"
@@ -97,13 +97,15 @@
         return [i for i, s in enumerate(self.states) if s is StepState.SENT]
 
     @property
-    def ending(self) -> Ending | None:
+    def final(self) -> Final | None:
         """The final answer, once no step waits or is sent."""
         if UNFINISHED.intersection(self.states):
             return None
+        if set(self.states) == {StepState.DONE}:
+            return Final.DONE  # also if its user asked to cancel it after its last job had ended
         if self.cancelled:
-            return Ending.CANCELLED
-        return Ending.FAILED if self.failure else Ending.DONE
+            return Final.CANCELLED
+        return Final.FAILED if self.failure else Final.DONE
 
     def record(self) -> dict:
         record = {
@@ -126,7 +128,7 @@
 class End(NamedTuple):
     """A ticket's final record: its answer, when it ended, until when it is remembered."""
 
-    ending: Ending
+    final: Final
     at: datetime
     until: datetime
     states: tuple[StepState, ...]
@@ -134,7 +136,7 @@
 
     def record(self) -> dict:
         record = {
-            "end": self.ending.value, "at": self.at.timestamp(), "until": self.until.timestamp(),
+            "end": self.final.value, "at": self.at.timestamp(), "until": self.until.timestamp(),
             "steps": "".join(s.value for s in self.states),
         }  # fmt: skip
         return record | ({"failure": list(self.failure)} if self.failure else {})
@@ -144,4 +146,4 @@
         at, until = (datetime.fromtimestamp(record[name], UTC) for name in ("at", "until"))
         failure = record.get("failure")
         states = tuple(map(StepState, record["steps"]))
-        return cls(Ending(record["end"]), at, until, states, Failure(*failure) if failure else None)
+        return cls(Final(record["end"]), at, until, states, Failure(*failure) if failure else None)
--- a/kelpjunction/tickets/desk.py
+++ b/kelpjunction/tickets/desk.py
@@ -12,8 +12,7 @@
 from kelpjunction.intake import RETRY_AFTER, TRIES, Answer, later, why_never
 from kelpjunction.jobs.book import Book
 from kelpjunction.settings import Team
-from kelpjunction.store.client import Ending as Outcome
-from kelpjunction.store.client import Haste, StoreClient, StoreDown, Transaction
+from kelpjunction.store.client import Ending, Haste, Outcome, StoreClient, StoreDown, Transaction
 from kelpjunction.store.mirror import Mirror, Verifier
 from kelpjunction.tickets import plan, users
 from kelpjunction.tickets.classes import TicketSettings, runs_again
@@ -88,10 +87,6 @@
     def _submit(self, asked: users.Submission) -> Answer:
         if not self._tickets.loaded:
             return later("this gateway is starting")
-        klass = self._settings.classes.get(asked.order.klass)
-        if klass is None:
-            known = ", ".join(self._settings.classes)
-            raise Refused([Fault("class", asked.order.klass, f"there are {known}")], 422)
         digest = hashlib.blake2b(
             orjson.dumps([asked.template, asked.parameters], option=orjson.OPT_SORT_KEYS), digest_size=16
         ).hexdigest()
@@ -101,13 +96,21 @@
             head = self._store.get(HEAD_PREFIX + asked.ticket)
             number = 0
             if head is not None:
-                # A ticket that is known is never refused: it is looked up before it is checked.
-                number = head.value["run"]
+                # A ticket that is known is never refused: it is looked up before it is checked,
+                # and its class is the one it came with first.
+                number, klass = head.value["run"], self._settings.klass(head.value["class"])
                 found = self._find(run_id(asked.ticket, number))
                 if found is not None:
                     end = found if isinstance(found, End) else None
                     if not runs_again(klass, number, end, self._clock.utc()):
-                        return self._told(run_id(asked.ticket, number), found)
+                        answer = self._told(run_id(asked.ticket, number), found)
+                        return answer if head.value["content"] == digest else users.of_other_content(answer)
+            if asked.order.klass not in self._settings.classes:
+                known = ", ".join(self._settings.classes)
+                raise Refused([Fault("class", asked.order.klass, f"there are {known}")], 422)
+            catalog = self._catalog()
+            if not catalog:
+                return later("the machine types are not known yet")
             if steps is None:
                 steps = self._read(asked)
             if len(self._records.live) >= self._settings.most_live or self._tickets.get(FULL_KEY) is not None:
@@ -115,12 +118,12 @@
             run = run_id(asked.ticket, max(number, occupied) + 1)
             salt = f"{self._random.getrandbits(64):016x}"  # nobody else can have taken its jobs' ids
             made = plan.plan(salted(run, salt), *steps, asked.order)
-            self._check(made)
+            self._check(made, catalog)
             outcome = self._accept(asked.ticket, run, salt, made, head.version if head else 0, digest)
-            if outcome.ending is Outcome.APPLIED:
+            if outcome.ending is Ending.APPLIED:
                 log.info("ticket %s accepted: %d steps, %d tasks", run, len(made.jobs), made.tasks)
                 return Answer(201, users.accepted_answer(run))
-            if outcome.ending is not Outcome.CONFLICT:
+            if outcome.ending is not Ending.CONFLICT:
                 break
             if ENDED_PREFIX + run in outcome.failed:
                 occupied = max(number, occupied) + 1
@@ -136,17 +139,19 @@
         document = wire.document_of(template.encode()) if isinstance(template, str) else template
         return wire.resolve(document, asked.parameters)
 
-    def _check(self, made: Plan) -> None:
-        """Refuse what can never run; raises `Refused` or `StoreDown`."""
-        catalog: Mapping[str, MachineType] = self._catalog()
-        if not catalog:
-            raise StoreDown("the machine types are not known yet")
+    def _check(self, made: Plan, catalog: Mapping[str, MachineType]) -> None:
+        """Refuse what can never run; raises `Refused`."""
         never = [(job, why_never(job.spec, catalog, self._teams)) for job in made.jobs]
         faults = [Fault(f"steps.{job.name}", "", why) for job, why in never if why]
+        most = self._store.limits.value_bytes
+        for job in made.jobs:
+            if (size := self._records.job_size(job.spec)) > most:
+                # The state service would refuse it for ever, and its client ask for ever.
+                faults.append(Fault(f"steps.{job.name}", f"{size} bytes", f"a step's job takes at most {most} bytes"))
         if faults:
             raise Refused(faults, 422)
 
-    def _accept(self, ticket: str, run: str, salt: str, made: Plan, head_version: int, digest: str):
+    def _accept(self, ticket: str, run: str, salt: str, made: Plan, head_version: int, digest: str) -> Outcome:
         """The one decision: head, course and the first steps' jobs, or nothing of it."""
         text = pack(made)
         txn = Transaction().guard(HEAD_PREFIX + ticket, head_version).guard(ENDED_PREFIX + run, 0)
@@ -154,7 +159,7 @@
         if len(text) > self._store.limits.value_bytes // INLINE_SHARE:
             staged = self._stage(text)
             if staged is None:
-                raise StoreDown("the plan could not be staged")
+                return Outcome(Ending.REFUSED)
             (token, parts), version = staged
             kept = [token, parts]
             owner = STAGE_PREFIX + token
@@ -166,11 +171,12 @@
         sent = self._records.sending(txn, made, course.ready(made), now)
         course = course.moved(dict.fromkeys(sent, StepState.SENT))
         txn.guard(TICKET_PREFIX + run, 0).put(TICKET_PREFIX + run, course.record())
-        txn.put(HEAD_PREFIX + ticket, {"run": int(run.rpartition(".")[2]), "content": digest})
+        head = {"run": int(run.rpartition(".")[2]), "class": spec.klass, "content": digest}
+        txn.put(HEAD_PREFIX + ticket, head)
         outcome = self._store.commit(txn.guards, txn.puts, timeout=timedelta(seconds=3))
-        if outcome.ending is Outcome.APPLIED:
+        if outcome.ending is Ending.APPLIED:
             self._records.keep_plan(run, made)
-            self._tickets.put(TICKET_PREFIX + run, course.record(), outcome.revision)
+            self._records.note(txn, outcome.revision)
         return outcome
 
     def _stage(self, text: str) -> tuple[tuple[str, int], int] | None:
@@ -180,11 +186,11 @@
         parts = [text[at : at + size] for at in range(0, len(text), size)]
         owner = {"at": self._clock.utc().timestamp(), "parts": len(parts)}
         outcome = self._store.commit({STAGE_PREFIX + token: 0}, {STAGE_PREFIX + token: owner})
-        if outcome.ending is not Outcome.APPLIED:
+        if outcome.ending is not Ending.APPLIED:
             return None
         for number, part in enumerate(parts):
             written = self._store.commit({STAGE_PREFIX + token: outcome.revision}, {part_key(token, number): part})
-            if written.ending is not Outcome.APPLIED:
+            if written.ending is not Ending.APPLIED:
                 return None
         return (token, len(parts)), outcome.revision
 
--- a/kelpjunction/tickets/driver.py
+++ b/kelpjunction/tickets/driver.py
@@ -6,14 +6,13 @@
 """
 
 import heapq
-import logging
 from datetime import timedelta
+from typing import NamedTuple
 
 from kelpjunction.clock import Clock
 from kelpjunction.jobs.book import JOB_PREFIX, RUN_PREFIX, Book
 from kelpjunction.leadership import Reign
-from kelpjunction.store.client import Ending as Outcome
-from kelpjunction.store.client import Haste, StoreClient, StoreDown, Transaction
+from kelpjunction.store.client import Ending, Haste, StoreClient, StoreDown, Transaction
 from kelpjunction.store.mirror import Mirror
 from kelpjunction.tickets.classes import TicketSettings
 from kelpjunction.tickets.plan import job_ref
@@ -29,14 +28,20 @@
 )
 from kelpjunction.tickets.steps import Steps
 
-log = logging.getLogger("tickets")
-
 MOST_AT_ONCE = 200  # runs looked at in a step
 STAGED_FOR = timedelta(minutes=5)  # at most, until a plan that was not accepted is dead
 SWEEP_AT_ONCE = 20  # records forgotten in a sweep
+CLOCKS_APART = timedelta(seconds=5)  # between two gateways, at most
 ROOM_AGAIN = 0.95  # of the remembered tickets, where new ones are taken again
 
 
+class _Known(NamedTuple):
+    """What is noted of an unfinished run: its class, and its jobs that are sent."""
+
+    klass: str
+    refs: set[str]
+
+
 class Driver:
     """Drives all runs while this gateway leads, and forgets what is to be forgotten."""
 
@@ -61,7 +66,7 @@
         self.reign: Reign | None = None
         self._changed: set[str] = set()  # runs to look at
         self._run_of: dict[str, str] = {}  # of each job that is sent and not known to have ended
-        self._refs: dict[str, set[str]] = {}  # the same, by run
+        self._known: dict[str, _Known] = {}
         self._ended: set[str] = set()  # jobs of those that are gone from the live keys
         self._apart = False  # whether the last transaction failed: each run is then written alone
         self._remembered: list[tuple[float, str]] | None = None  # (until, run): a heap; None until it was read
@@ -74,6 +79,7 @@
         """This gateway drives from now on, or no longer."""
         if reign is not None and self.reign is None:
             self._changed = set(self._records.live)
+        if reign is None:
             self._remembered = None
         self.reign = reign
 
@@ -81,18 +87,20 @@
 
     def _ticket_changed(self, key: str, value: dict | None, version: int) -> None:
         run = key.removeprefix(TICKET_PREFIX)
-        for ref in self._refs.pop(run, ()):
+        known = self._known.pop(run, None)
+        for ref in known.refs if known else ():
             self._run_of.pop(ref, None)
             self._ended.discard(ref)
         if value is not None:
             self._changed.add(run)
-            self._index(run)
-
-    def _index(self, run: str) -> None:
-        """Know the jobs of a run's sent steps."""
-        course = self._records.live[run].course
-        refs = self._refs[run] = {job_ref(salted(run, course.salt), place) for place in course.sent}
-        self._run_of |= dict.fromkeys(refs, run)
+            course = self._records.live[run].course
+            refs = {job_ref(salted(run, course.salt), place) for place in course.sent}
+            self._known[run] = _Known(course.klass, refs)
+            self._run_of |= dict.fromkeys(refs, run)
+        elif known is not None and self._remembered is not None:
+            # Whichever gateway ended it, by whose clock so ever.
+            until = self._clock.utc() + self._settings.klass(known.klass).remember + CLOCKS_APART
+            heapq.heappush(self._remembered, (until.timestamp(), run))
 
     def _job_changed(self, key: str, value: dict | None, version: int) -> None:
         run = self._run_of.get(key.removeprefix(JOB_PREFIX))
@@ -127,31 +135,22 @@
                 txn = self._steps.next(live)
                 if txn is not None:
                     txns.append(txn)
-                elif any(ref not in self._book.jobs for ref in self._refs[run]):
+                elif any(ref not in self._book.jobs for ref in self._known[run].refs):
                     again.add(run)  # this gateway's copy of the jobs lags
             for group in [[txn] for txn in txns] if self._apart else [txns]:
                 if not self._records.apply(group, Haste.TURN):
                     # One that can't be written must not keep back those merged with it.
                     self._apart = not self._apart
                     self._changed.update(runs)
-                    return True
+                    return False
         except StoreDown:
             self._changed.update(runs)
             raise
         self._apart = False
-        for txn in txns:
-            self._note_ends(txn)
         more = bool(self._changed)
         self._changed |= again
         return more
 
-    def _note_ends(self, txn: Transaction) -> None:
-        for key, value in txn.puts.items():
-            if key.startswith(ENDED_PREFIX):
-                log.info("ticket %s: %s", key.removeprefix(ENDED_PREFIX), value["end"])
-                if self._remembered is not None:
-                    heapq.heappush(self._remembered, (value["until"], key.removeprefix(ENDED_PREFIX)))
-
     # -- forgetting -----------------------------------------------------------------
 
     def sweep(self) -> None:
@@ -188,7 +187,7 @@
         else:
             # A new run moves the head: then this one is forgotten alone, next time.
             outcome = self._store.commit({key: head.version}, {}, [key, ENDED_PREFIX + run], haste=Haste.TURN)
-        return outcome.ending is Outcome.APPLIED
+        return outcome.ending is Ending.APPLIED
 
     def _tell_full(self) -> None:
         count, most = len(self._remembered), self._settings.most_remembered
@@ -203,5 +202,5 @@
         token, most = owner.removeprefix(STAGE_PREFIX), self._store.limits.txn_ops
         keys = [*(part_key(token, number) for number in range(parts)), owner]
         for first in range(0, len(keys), most):
-            if self._store.commit({}, {}, keys[first : first + most], haste=Haste.TURN).ending is not Outcome.APPLIED:
+            if self._store.commit({}, {}, keys[first : first + most], haste=Haste.TURN).ending is not Ending.APPLIED:
                 return
--- a/kelpjunction/tickets/gateway.py
+++ b/kelpjunction/tickets/gateway.py
@@ -43,7 +43,8 @@
 REQUEST_SHARE = 0.05  # of its rate of requests, for watches and comparisons
 DRIVE_EVERY = seconds(0.25)
 SWEEP_EVERY = seconds(10)
-MOST_CONNECTIONS = 500
+MOST_CONNECTIONS = 500  # of users
+CONNECTIONS = 8  # to the state service
 
 
 class Gateway:
@@ -162,8 +163,8 @@
         self._settings = settings
         self._random = random.Random()
         self.gateway = Gateway(
-            platform, operators, settings, HttpTransport(), (HttpTransport(1), HttpTransport(1)), SystemClock(),
-            gevent.spawn, sleep, self._random,
+            platform, operators, settings, HttpTransport(CONNECTIONS), (HttpTransport(1), HttpTransport(1)),
+            SystemClock(), gevent.spawn, sleep, self._random,
         )  # fmt: skip
 
     def term(self) -> int | None:
--- a/kelpjunction/tickets/records.py
+++ b/kelpjunction/tickets/records.py
@@ -1,6 +1,6 @@
 """The tickets' records in the state service, and what writing them guards.
 
-    t/head/<id>          the latest run's number, and a digest of its content
+    t/head/<id>          the latest run's number and class, and a digest of its content
     t/l/ticket/<run>     an unfinished run's course; its plan, if that is short
     t/end/<run>          a run's one final answer
     t/stage/<token>      owner of a long plan's parts: staged, taken by a run, or dead
@@ -14,6 +14,7 @@
 """
 
 import base64
+import logging
 import zlib
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -24,12 +25,14 @@
 
 from kelpjunction.clock import Clock
 from kelpjunction.jobs.book import END_PREFIX, JOB_PREFIX, Job, job_record
-from kelpjunction.store.client import Ending as Outcome
-from kelpjunction.store.client import Haste, StoreClient, StoreDown, Transaction, merged
+from kelpjunction.store.client import Ending, Haste, StoreClient, StoreDown, Transaction, merged
 from kelpjunction.store.mirror import LIVE, Mirror
 from kelpjunction.tickets.course import Course, End
 from kelpjunction.tickets.plan import Plan
 from kelpjunction.wire import users
+from kelpjunction.wire.messages import JobSpec
+
+log = logging.getLogger("tickets")
 
 PREFIX = "t/l/"  # what every gateway mirrors
 TICKET_PREFIX = PREFIX + "ticket/"
@@ -60,6 +63,10 @@
     return Plan.parse(orjson.loads(zlib.decompress(base64.b64decode(text))))
 
 
+def _job_record(spec: JobSpec, now: datetime) -> dict:
+    return job_record(users.fields_to_keep(users.submission(spec)), now)
+
+
 class Live(NamedTuple):
     """An unfinished run as this gateway last saw it."""
 
@@ -111,6 +118,10 @@
 
     # -- writing ------------------------------------------------------------------
 
+    def job_size(self, spec: JobSpec) -> int:
+        """How many bytes a step's job takes in the state service."""
+        return len(orjson.dumps(_job_record(spec, self._clock.utc())))
+
     @property
     def room(self) -> int:
         """How many jobs one transaction may submit or cancel beside what it changes of a ticket."""
@@ -125,7 +136,7 @@
         size = 0
         for place in list(places)[: self.room]:
             spec = made.jobs[place].spec
-            record = job_record(users.fields_to_keep(users.submission(spec)), now)
+            record = _job_record(spec, now)
             size += len(orjson.dumps(record))
             if sent and size > SENDING_BYTES:
                 break
@@ -143,11 +154,11 @@
         """Add a run's new course, or its final record if nothing of it is left to do."""
         key = TICKET_PREFIX + live.run
         txn.guard(key, live.version)
-        if course.ending is None:
+        if course.final is None:
             txn.put(key, course.record())
             return
         now = self._clock.utc()
-        end = End(course.ending, now, now + remember, course.states, course.failure)
+        end = End(course.final, now, now + remember, course.states, course.failure)
         txn.delete(key).put(ENDED_PREFIX + live.run, end.record())
         if not isinstance(course.plan, str):
             token, parts = course.plan
@@ -161,15 +172,22 @@
         """
         for txn in merged(txns, self._store.limits):
             outcome = self._store.commit(txn.guards, txn.puts, txn.deletes, haste=haste)
-            if outcome.ending is not Outcome.APPLIED:
+            if outcome.ending is not Ending.APPLIED:
                 for key in outcome.failed or txn.guards:
                     self._refresh(key)
                 return False
-            for mirror, prefix in ((self._jobs, LIVE), (self._tickets, PREFIX)):
-                puts = {k: v for k, v in txn.puts.items() if k.startswith(prefix)}
-                mirror.put_outcome(puts, [k for k in txn.deletes if k.startswith(prefix)], outcome.revision)
+            self.note(txn, outcome.revision)
         return True
 
+    def note(self, txn: Transaction, revision: int) -> None:
+        """Take in a transaction of this gateway's that was applied."""
+        for key, value in txn.puts.items():
+            if key.startswith(ENDED_PREFIX):
+                log.info("ticket %s: %s", key.removeprefix(ENDED_PREFIX), value["end"])
+        for mirror, prefix in ((self._jobs, LIVE), (self._tickets, PREFIX)):
+            puts = {k: v for k, v in txn.puts.items() if k.startswith(prefix)}
+            mirror.put_outcome(puts, [k for k in txn.deletes if k.startswith(prefix)], revision)
+
     def _refresh(self, key: str) -> None:
         for mirror, prefix in ((self._jobs, LIVE), (self._tickets, PREFIX)):
             if key.startswith(prefix):
--- a/kelpjunction/tickets/steps.py
+++ b/kelpjunction/tickets/steps.py
@@ -59,14 +59,11 @@
         self._ends, self._read_to = {}, self._jobs.revision
 
     def _end(self, ref: str) -> str | None:
+        """How a job ended that is not among the live ones."""
         if ref in self._ends:
             return self._ends[ref]
         end = self._store.get(END_PREFIX + ref)
-        if end is None:
-            # Not here yet: this gateway's copy lags behind the ticket's.
-            self._jobs.refresh(JOB_PREFIX + ref)
-            return None
-        return end.value["end"]
+        return None if end is None else end.value["end"]
 
     def next(self, live: Live, course: Course | None = None) -> Transaction | None:
         """The change to write, None if nothing is to be done; raises `StoreDown`.
@@ -81,6 +78,12 @@
         for place in course.sent:
             step = made.jobs[place]
             job = self._book.jobs.get(step.spec.ref)
+            if job is None and self._jobs.revision < live.version:
+                # This gateway's copy of the jobs may lag behind the ticket's.
+                if not course.cancelled:
+                    continue
+                self._jobs.refresh(JOB_PREFIX + step.spec.ref)
+                job = self._book.jobs.get(step.spec.ref)
             if job is None:
                 end = self._end(step.spec.ref)
                 if end is None:
--- a/kelpjunction/tickets/users.py
+++ b/kelpjunction/tickets/users.py
@@ -7,6 +7,7 @@
 import orjson
 
 from kelpjunction.clock import seconds
+from kelpjunction.intake import Answer
 from kelpjunction.tickets import plan
 from kelpjunction.tickets.course import UNFINISHED, Course, End, Failure, StepState
 from kelpjunction.tickets.plan import Fault, Order, Plan, Refused
@@ -110,7 +111,12 @@
 def final_answer(run: str, end: End) -> bytes:
     """A ticket's one final answer."""
     counts = {s.name.lower(): n for s in StepState if s not in UNFINISHED and (n := end.states.count(s))}
-    return orjson.dumps({"ticket": run, "state": end.ending.value, "steps": counts} | _failure(end.failure))
+    return orjson.dumps({"ticket": run, "state": end.final.value, "steps": counts} | _failure(end.failure))
+
+
+def of_other_content(answer: Answer) -> Answer:
+    """The same answer, which says that the ticket of this id came with another template or parameters."""
+    return answer._replace(body=orjson.dumps(orjson.loads(answer.body) | {"same_content": False}))
 
 
 def accepted_answer(run: str) -> bytes:
--- a/kelpjunction/tickets/wire.py
+++ b/kelpjunction/tickets/wire.py
@@ -5,9 +5,11 @@
 and 24 MB, so that nobody does who has no ticket to read.
 """
 
+from functools import lru_cache
 from pathlib import Path
 from typing import Any
 
+import orjson
 import yaml
 from openjd.model import (
     DecodeValidationError,
@@ -23,6 +25,8 @@
 MAX_BYTES = 64 * 1024
 MAX_DEPTH = 32
 EXTENSIONS = ("TASK_CHUNKING",)
+TEMPLATES_KEPT = 64
+KEPT_BYTES = 8 * 1024  # of a template that is kept decoded, at most
 NOWHERE = Path("/")  # paths in parameters are the worker's business
 
 
@@ -35,7 +39,7 @@
     """The same from JSON that was decoded before."""
     if _depth(document) > MAX_DEPTH:
         raise Refused([Fault("", "", f"a ticket is nested at most {MAX_DEPTH} deep")])
-    template = _decoded(document)
+    template = _template(document)
     try:
         values = preprocess_job_parameters(
             job_template=template,
@@ -82,6 +86,20 @@
     return document
 
 
+def _template(document: dict) -> Any:
+    """The decoded template; the same one comes again and again with other parameters, and decoding is half the work."""
+    try:
+        content = orjson.dumps(document)
+    except TypeError:  # YAML knows more than JSON: the library says what is wrong with it
+        return _decoded(document)
+    return _known_template(content) if len(content) <= KEPT_BYTES else _decoded(document)
+
+
+@lru_cache(maxsize=TEMPLATES_KEPT)
+def _known_template(content: bytes) -> Any:
+    return _decoded(orjson.loads(content))
+
+
 def _decoded(document: dict) -> Any:
     try:
         return decode_job_template(template=document, supported_extensions=EXTENSIONS)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,9 @@
 """Ticket gateways in the simulated world: whole or not at all, as often as the class allows, one final answer."""
 
+import io
+import subprocess
+import sys
+from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
 import orjson
@@ -11,9 +15,10 @@
 from kelpjunction.intake import Answer
 from kelpjunction.lab.account import Account
 from kelpjunction.lab.farm import BROKEN_IMAGE, PAUSE, TEAMS, Farm, FarmWorld, ticket, ticket_class
+from kelpjunction.lab.site import STORE_LIMITS
 from kelpjunction.settings import SettingsError
 from kelpjunction.tickets.classes import Runs, load_tickets, runs_again
-from kelpjunction.tickets.course import Course, End, Ending, StepState
+from kelpjunction.tickets.course import Course, End, Final, StepState
 from kelpjunction.tickets.gateway import Application
 from kelpjunction.tickets.plan import Order, Plan, Step, plan
 from kelpjunction.tickets.records import HEAD_PREFIX, PART_PREFIX, STAGE_PREFIX, TICKET_PREFIX
@@ -94,15 +99,58 @@
     world.asleep[stale.settings.name] = world.clock.now + timedelta(hours=1)
     assert world.run(30, lambda: not records(world, "l/job/")), "the first step ends unseen"
     assert world.ask_gateway("cancel", "chain-1", other)[1]["state"] == "cancelled"
-    jobs = set(world.jobs)
-    stale.driver._changed.add("chain-1.1")
+    jobs = set(records(world, "l/job/", "e/"))
+    stale.follow(stale.jobs)  # the job's end, and not the cancellation
     stale.drive()
+    assert set(records(world, "l/job/", "e/")) == jobs
     world.asleep.clear()
     world.run(50)
-    assert set(world.jobs) == jobs
+    assert set(records(world, "l/job/", "e/")) == jobs
     assert all(state(world, "chain-1", name) == "cancelled" for name in world.gateways)
 
 
+def test_a_gateway_that_lags_tells_nothing_older_than_what_was_told():
+    world = farm()
+    submit(world, ticket("chain", "once", 1, run=20.0))
+    world.run(2)
+    world.asleep["gate-1"] = world.clock.now + timedelta(hours=1)
+    assert world.ask_gateway("cancel", "chain-1", "gate-0")[1]["state"] == "cancelled"
+    answer = world.gateways["gate-1"].desk.show("chain-1")
+    assert (answer.status, orjson.loads(answer.body)["state"]) == (200, "cancelled")
+
+
+def test_a_gateway_that_lags_cancels_no_job_that_has_ended():
+    """Its copy of the job is older than the job's end: written anew, the job would run once more."""
+    world = farm()
+    submit(world, ticket("single", "once", 1))
+    world.run(1)
+    for name in world.gateways:
+        world.asleep[name] = world.clock.now + timedelta(hours=1)
+    assert world.run(30, lambda: not records(world, "l/job/"))
+    answer = world.gateways["gate-1"].desk.cancel("single-1")
+    assert (answer.status, orjson.loads(answer.body)["state"]) == (200, "done")
+    assert records(world, "l/job/") == []
+
+
+def test_a_part_that_is_written_late_leaves_nothing_behind():
+    """Held back on its way until what it belongs to was swept."""
+    world = farm(machines=3, gateways=1)
+    world.held_for = (400.0, 400.0)
+    held: list[str] = []
+
+    def fate(source: str, target: str, path: str) -> str | None:
+        if source == "gate-0" and path == "/commit" and records(world, STAGE_PREFIX) and not held:
+            held.append(path)
+            return "held"
+        return None
+
+    world.filter = fate
+    assert submit(world, ticket("long", "once", 1, tasks=1))[0] == 503
+    world.run(450)
+    assert held
+    assert records(world, "t/") == [key for key in records(world, "t/") if key.startswith("t/l/")]
+
+
 # -- whole or not at all --------------------------------------------------------------------
 
 
@@ -181,6 +229,25 @@
     assert records(world) == []
 
 
+def test_a_step_whose_job_no_record_holds_is_refused():
+    world = farm(machines=3)
+    fields = ticket("single", "once", 1)
+    types = ["box", *(f"m{n:060d}" for n in range(49))]
+    attribute = {"name": "attr.machine_type", "anyOf": types}
+    fields["template"]["steps"][0]["hostRequirements"] = {"attributes": [attribute]}
+    fields["image"] = "x" * 100
+    world.gateways["gate-0"].store.limits = replace(STORE_LIMITS, value_bytes=3000)
+    status, answer = submit(world, fields, "gate-0")
+    assert (status, answer["faults"][0]["rule"]) == (422, "a step's job takes at most 3000 bytes")
+    assert records(world) == []
+
+
+def test_nodes_import_nothing_of_tickets():
+    """A node has as little as 146 MB."""
+    code = "import kelpjunction.daemon, sys; sys.exit(any('tickets' in m or 'openjd' in m for m in sys.modules))"
+    assert subprocess.run([sys.executable, "-c", code]).returncode == 0
+
+
 def test_several_faults_are_told_at_once():
     world = farm(machines=3)
     status, answer = submit(world, ticket("chain", "once", 1) | {"cpus": 900.0})
@@ -191,11 +258,11 @@
 
 
 def test_how_often_a_ticket_runs():
-    def end(ending: Ending, ago: timedelta) -> End:
-        return End(ending, NOW - ago, NOW - ago + timedelta(days=1), (), None)
+    def end(final: Final, ago: timedelta) -> End:
+        return End(final, NOW - ago, NOW - ago + timedelta(days=1), (), None)
 
-    done, failed = end(Ending.DONE, PAUSE / 2), end(Ending.FAILED, PAUSE / 2)
-    paused, forgotten = end(Ending.DONE, PAUSE), end(Ending.DONE, timedelta(days=1))
+    done, failed = end(Final.DONE, PAUSE / 2), end(Final.FAILED, PAUSE / 2)
+    paused, forgotten = end(Final.DONE, PAUSE), end(Final.DONE, timedelta(days=1))
     table = {
         Runs.ONCE: [(1, None, False), (1, done, False), (1, failed, False), (1, forgotten, True)],
         Runs.AFTER_FAILURE: [(1, None, False), (1, done, False), (1, failed, True), (2, failed, False)],
@@ -219,6 +286,40 @@
     assert len(records(world, TICKET_PREFIX)) == 1
 
 
+def test_of_two_gateways_that_accept_the_same_ticket_at_once_one_decides():
+    """The second submits between the first's look at the head and its acceptance."""
+    world = farm()
+    fields = ticket("chain", "once", 1)
+    other: list[tuple[int | None, dict]] = []
+
+    def meanwhile(name: str, path: str) -> None:
+        if name == "gate-0" and path == "/commit" and not other:
+            other.append((None, {}))
+            other[0] = submit(world, fields, "gate-1")
+
+    world.kill_at = meanwhile
+    status, answer = submit(world, fields, "gate-0")
+    assert (status, other[0][0], answer["ticket"]) == (200, 201, other[0][1]["ticket"])
+    assert len(records(world, TICKET_PREFIX, "l/job/")) == 2, "one course, and its first step's job"
+
+
+def test_a_known_ticket_keeps_its_class():
+    """Else a client could run a ticket of class once again by naming another."""
+    world = farm()
+    fields = ticket("single", "once", 1)
+    submit(world, fields)
+    for klass in ("always", "nope"):
+        assert submit(world, fields | {"class": klass})[0] == 200
+
+
+def test_an_id_that_comes_again_with_other_content_is_told():
+    world = farm()
+    fields = ticket("single", "once", 1)
+    submit(world, fields)
+    assert "same_content" not in submit(world, fields)[1]
+    assert submit(world, fields | {"template": ticket("chain", "once", 1)["template"]})[1]["same_content"] is False
+
+
 def test_a_failed_ticket_runs_again_as_often_as_its_class_says_and_each_run_keeps_its_answer():
     world = farm()
     fields = ticket("failing", "after-failure", 1)
@@ -245,6 +346,9 @@
         world.start_gateway(name)
     world.run(5)
     assert submit(world, fields)[0] == 200
+    assert submit(world, ticket("chain", "once", 1))[0] == 201
+    idle = next(name for name in world.gateways if name != world.driving())
+    assert world.ask_gateway("cancel", "chain-1", idle)[0] == 200  # it ends without the one that drives
     world.run(90)
     assert records(world) == []
     assert state(world, "single-1") is None
@@ -279,16 +383,16 @@
 def test_a_course_ends_once_and_its_record_holds_all_of_it(moves, halt_at):
     now = course(*[StepState.WAITING] * 4)
     for number, (place, to) in enumerate(moves):
-        if number == halt_at and now.ending is None:
+        if number == halt_at and now.final is None:
             now = now.halted(cancelled=True)
-        was = now.ending
+        was = now.final
         try:
             now = now.moved({place: to})
         except ValueError:
             continue
         assert was is None, "nothing moves once all steps have ended"
         assert Course.parse(orjson.loads(orjson.dumps(now.record()))) == now
-    assert now.ending is not Ending.DONE or now.states == (StepState.DONE,) * 4
+    assert now.final is not Final.DONE or now.states == (StepState.DONE,) * 4
 
 
 @pytest.mark.parametrize("after", [0.0, 4.0, 8.0])
@@ -379,8 +483,6 @@
 
 def ask(world: FarmWorld, method: str, path: str, body: bytes = b"", length: int | None = None) -> Answer:
     """Through the WSGI application, as HTTP brings it."""
-    import io
-
     told = []
     environ = {
         "REQUEST_METHOD": method, "PATH_INFO": path, "wsgi.input": io.BytesIO(body),
