--- /dev/null
+++ b/benchmarks/tickets.py
@@ -0,0 +1,142 @@
+"""Tickets: the mixed run, acceptance beside native submissions, memory, and the cost of driving many.
+
+    python benchmarks/tickets.py mixed --tickets 1000 --seed 11
+    python benchmarks/tickets.py accept
+    python benchmarks/tickets.py memory
+    python benchmarks/tickets.py drive --tickets 10000
+
+All of it runs against the stand-ins on a simulated clock; what is compared ran in the same process, in turns.
+"""
+
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+
+import click
+import orjson
+
+from kelpjunction.lab.farm import TEAMS, Farm, FarmWorld, ticket
+from kelpjunction.tickets import plan
+from kelpjunction.tickets.course import Course, StepState
+from kelpjunction.tickets.records import TICKET_PREFIX, pack, salted
+
+
+@click.group()
+def main() -> None:
+    pass
+
+
+@main.command()
+@click.option("--tickets", default=1000, show_default=True)
+@click.option("--seconds", default=1800.0, show_default=True, help="Of simulated time, in which they are submitted.")
+@click.option("--seed", default=11, show_default=True)
+def mixed(tickets: int, seconds: float, seed: int) -> None:
+    """So many tickets beside as many native jobs, through kills and outages; exit code 1 if anything is wrong."""
+    began = time.perf_counter()
+    verdict = Farm(seed, tickets, seconds).play()
+    ends = ", ".join(f"{count} {end}" for end, count in sorted(verdict.ends.items()))
+    click.echo(f"{verdict.tickets} tickets, {verdict.runs} runs: {ends}; {verdict.faults} faults")
+    click.echo(f"ledger equals account: {verdict.ledger == verdict.account}; {time.perf_counter() - began:.0f} s")
+    for problem in verdict.problems:
+        click.echo(f"PROBLEM: {problem}")
+    sys.exit(0 if verdict.holds else 1)
+
+
+def _timed(act: Callable[[], None]) -> float:
+    began = time.process_time()
+    act()
+    return time.process_time() - began
+
+
+@main.command()
+@click.option("--count", default=300, show_default=True, help="Tickets of each kind.")
+@click.option("--one-template", is_flag=True, help="All tickets of a kind have the same template.")
+def accept(count: int, one_template: bool) -> None:
+    """Processor time of accepting tickets, beside native submissions of the same jobs."""
+    from kelpjunction.tickets import wire
+
+    for kind, steps in (("single", 1), ("chain", 3), ("diamond", 4), ("long", 30)):
+        world = FarmWorld(gateways=1, machines=3, capacity=3, teams=TEAMS)
+        world.run(6)
+        desk, intake = world.gateways["gate-0"].desk, world.nodes["holdfast-0"].intake
+        fields = [ticket(kind, "once", n) for n in range(count)]
+        if one_template:
+            fields = [f | {"template": fields[0]["template"]} for f in fields]
+        bodies = [orjson.dumps(f) for f in fields]
+        changes: list[str] = []
+        world.store.on_set = lambda key, value, changes=changes: changes.append(key)
+        taken = _timed(lambda desk=desk, bodies=bodies: [desk.submit(body) for body in bodies])
+        per_ticket = len(changes) / count
+        natives = []
+        for number in range(count):
+            fields = ticket(kind, "once", number)
+            read = wire.resolve(fields["template"], {})
+            made = plan.plan(f"native-{number}", *read, plan.Order("farm", klass="once", image="img", image_gb=1.0))
+            natives += [orjson.dumps(job[2]) for job in made.record()["jobs"]]
+        native = _timed(lambda intake=intake, natives=natives: [intake.submit(body) for body in natives])
+        click.echo(
+            f"{kind}: {count / taken:.0f} tickets/s, the same as native jobs {count / native:.0f}/s: ratio"
+            f" {native / taken:.2f}; {per_ticket:.1f} changes a ticket instead of {steps}"
+        )
+
+
+@main.command()
+def memory() -> None:
+    """Resident memory and processor time after the imports of a node, and of a gateway."""
+    tell = "import resource, time; r = resource.getrusage(resource.RUSAGE_SELF)"
+    tell += "; print(f'{r.ru_maxrss / 1024:.0f} MB, {time.process_time():.2f} s of processor time')"
+    gateway = "import kelpjunction.tickets.gateway"
+    for what, imports in (
+        ("node", "import kelpjunction.daemon"),
+        ("gateway", gateway),
+        ("gateway that has read a ticket", f"{gateway}, kelpjunction.tickets.wire"),
+    ):
+        done = subprocess.run([sys.executable, "-c", f"{imports}; {tell}"], capture_output=True, text=True, check=True)
+        click.echo(f"{what}: {done.stdout.strip()}")
+
+
+@main.command()
+@click.option("--tickets", default=10_000, show_default=True, help="Chains of three, each with its second step sent.")
+def drive(tickets: int) -> None:
+    """A step of the gateway that drives, by how many runs changed."""
+    world = FarmWorld(gateways=0, machines=3, capacity=3, teams=TEAMS)
+    world.run(6)
+    now = world.clock.utc()
+    steps = [plan.Step(name, 1, depends_on=after) for name, after in (("a", ()), ("b", ("a",)), ("c", ("b",)))]
+    states = (StepState.DONE, StepState.SENT, StepState.WAITING)
+    refs = []
+    for number in range(tickets):
+        run = f"t-{number}.1"
+        made = plan.plan(salted(run, ""), "half done", steps, plan.Order("farm"))
+        course = Course("once", "farm", now, states, pack(made), "")
+        world.store.handle("POST", "/commit", _commit(TICKET_PREFIX + run, course.record()))
+        spec = made.record()["jobs"][1][2]
+        refs.append(spec["ref"])
+        world.store.handle("POST", "/commit", _commit(f"l/job/{spec['ref']}", {"spec": spec, "at": now.timestamp()}))
+    gateway = world.start_gateway("gate-0")
+    loaded = _timed(lambda: [gateway.follow(mirror) for mirror in (gateway.jobs, gateway.tickets)])
+    gateway.leadership.step()
+    gateway.leadership.step()
+    took = _timed(lambda: [None for _ in iter(gateway.drive, False)])
+    click.echo(f"{tickets} tickets half done: read in {loaded:.2f} s, all looked at on taking over in {took:.2f} s")
+    for changed in (0, 1, 10, 100):
+        for ref in refs[:changed]:
+            world.store.handle("POST", "/commit", {"guards": [], "then": [{"delete": f"l/job/{ref}"}]})
+            world.store.handle("POST", "/commit", _commit(f"e/{ref}", {"end": "done"}))
+        refs = refs[changed:]
+        gateway.follow(gateway.jobs)
+        looked = gateway.driver.looked_at
+        step = _timed(gateway.drive)
+        click.echo(f"{changed} changed: {1000 * step:.2f} ms, {gateway.driver.looked_at - looked} looked at")
+        gateway.follow(gateway.jobs)
+        gateway.follow(gateway.tickets)
+        gateway.drive()
+
+
+def _commit(key: str, value: dict) -> dict:
+    return {"guards": [], "then": [{"set": key, "data": value}]}
+
+
+if __name__ == "__main__":
+    main()
