Tickets: deploy/gateway.toml starts a gateway; a fault without a path reads plainly

Need: what is new is turned on by a file under deploy/, and `run` of service.toml leaves gateways out. Change: gateway.toml builds and starts one with deploy/tickets.json; a refusal of no field in particular does not begin with a colon; the fuzzed entry is also checked for records left behind.

--- a/kelpjunction/cli/ticket.py
+++ b/kelpjunction/cli/ticket.py
@@ -123,7 +123,7 @@
 
     \b
     Example:
-      kelpjunction ticket serve --config node.toml --settings examples/tickets.json
+      kelpjunction ticket serve --config node.toml --settings deploy/tickets.json
     """
     from kelpjunction import logs
     from kelpjunction.settings import SettingsError, load_operators, load_platform
@@ -169,8 +169,9 @@
             click.echo(f"  {failure['step']} failed: {failure['why']}; {failure['unfinished']} tasks are not done")
     else:
         for fault in fields.get("faults", ()):
+            where = f"{fault['path']}: " if fault["path"] else ""
             value = f" (it is {fault['value']})" if fault["value"] else ""
-            click.echo(f"kelpjunction: {fault['path']}: {fault['rule']}{value}", err=True)
+            click.echo(f"kelpjunction: {where}{fault['rule']}{value}", err=True)
         if not fields.get("faults"):
             click.echo(f"kelpjunction: {reply.status}: {fields.get('error', 'no reason given')}", err=True)
     if reply.status not in (200, 201):
--- a/kelpjunction/tickets/plan.py
+++ b/kelpjunction/tickets/plan.py
@@ -31,7 +31,8 @@
     rule: str
 
     def __str__(self) -> str:
-        return f"{self.path}: {self.rule}" + (f" (it is {self.value})" if self.value else "")
+        where = f"{self.path}: " if self.path else ""
+        return f"{where}{self.rule}" + (f" (it is {self.value})" if self.value else "")
 
 
 class Refused(Exception):
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,8 +3,10 @@
 import io
 import subprocess
 import sys
+import tomllib
 from dataclasses import replace
 from datetime import UTC, datetime, timedelta
+from pathlib import Path
 
 import orjson
 import pytest
@@ -521,6 +523,7 @@
         st.sampled_from([data.draw(st.binary(max_size=60)), orjson_of(odd), orjson_of(fields | {name: odd})])
     )
     world = shared()
+    before = records(world)
     answer = ask(world, "POST", "/api/tickets", body)
     if answer.status == 201:
         run = orjson.loads(answer.body)["ticket"]
@@ -528,6 +531,7 @@
         return
     assert answer.status in (200, 400, 422)
     assert answer.status == 200 or orjson.loads(answer.body)["error"]
+    assert records(world) == before
 
 
 def orjson_of(value) -> bytes:
@@ -576,3 +580,9 @@
     klass = load_tickets(file).klass("c")
     assert (klass.runs, klass.remember, klass.pause > ZERO) == (Runs.ONCE, timedelta(days=31), True)
     assert load_tickets(file).klass("gone").runs is Runs.ONCE
+
+
+def test_the_settings_under_deploy_are_valid_and_what_starts_a_gateway_names_them():
+    deploy = Path(__file__).resolve().parent.parent / "deploy"
+    assert {klass.runs for klass in load_tickets(deploy / "tickets.json").classes.values()} == set(Runs)
+    assert "--settings deploy/tickets.json --config" in tomllib.loads((deploy / "gateway.toml").read_text())["run"]
