--- a/kelpjunction/cli/jobs.py
+++ b/kelpjunction/cli/jobs.py
@@ -21,15 +21,15 @@
 _nodes = click.option(
     "--nodes", default=DEFAULT_NODES, envvar="KELPJUNCTION_NODES", show_default=True, help="Addresses, tried in turn."
 )
-_json = click.option("--json", "as_json", is_flag=True, help="Print the answer as JSON.")
-_patience = click.option(
+as_json_option = click.option("--json", "as_json", is_flag=True, help="Print the answer as JSON.")
+patience_option = click.option(
     "--patience", default=60.0, show_default=True, type=click.FloatRange(0), help="Seconds to go on asking."
 )
 
 
 def _asking(command: Callable) -> Callable:
     """The options of every command that asks a node."""
-    return _nodes(_patience(_json(command)))
+    return _nodes(patience_option(as_json_option(command)))
 
 
 class Caller:
--- a/kelpjunction/cli/ticket.py
+++ b/kelpjunction/cli/ticket.py
@@ -10,7 +10,7 @@
 import click
 import orjson
 
-from kelpjunction.cli.jobs import POLL_EVERY, Caller
+from kelpjunction.cli.jobs import POLL_EVERY, Caller, as_json_option, patience_option
 from kelpjunction.transport import Reply
 from kelpjunction.wire import users
 
@@ -24,15 +24,11 @@
     show_default=True,
     help="Addresses, tried in turn.",
 )
-_patience = click.option(
-    "--patience", default=60.0, show_default=True, type=click.FloatRange(0), help="Seconds to go on asking."
-)
-_json = click.option("--json", "as_json", is_flag=True, help="Print the answer as JSON.")
 
 
 def _asking(command: Callable) -> Callable:
     """The options of every command that asks a gateway."""
-    return _gateways(_patience(_json(command)))
+    return _gateways(patience_option(as_json_option(command)))
 
 
 def _fail(code: int, why: object) -> None:
--- a/kelpjunction/tickets/wire.py
+++ b/kelpjunction/tickets/wire.py
@@ -30,13 +30,8 @@
 NOWHERE = Path("/")  # paths in parameters are the worker's business
 
 
-def read(text: bytes, parameters: dict[str, str]) -> tuple[str, list[Step]]:
-    """A ticket's name and its steps with parameters resolved; raises `Refused`."""
-    return resolve(document_of(text), parameters)
-
-
 def resolve(document: dict, parameters: dict[str, str]) -> tuple[str, list[Step]]:
-    """The same from JSON that was decoded before."""
+    """A ticket's name and its steps with parameters resolved; raises `Refused`."""
     if _depth(document) > MAX_DEPTH:
         raise Refused([Fault("", "", f"a ticket is nested at most {MAX_DEPTH} deep")])
     template = _template(document)
@@ -66,7 +61,7 @@
 
 
 def document_of(text: bytes) -> dict:
-    """JSON or YAML as an object; refused by size and depth before anything is made of it."""
+    """A ticket's JSON or YAML as an object; refused by size and depth before anything is made of it."""
     if len(text) > MAX_BYTES:
         raise Refused([Fault("", f"{len(text)} bytes", f"a ticket has at most {MAX_BYTES} bytes")])
     try:
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -30,13 +30,17 @@
 
 
 def read(document: dict, **parameters: str):
-    return wire.read(orjson.dumps(document), parameters)
+    return read_text(orjson.dumps(document), parameters)
+
+
+def read_text(text: bytes, parameters: dict[str, str]):
+    return wire.resolve(wire.document_of(text), parameters)
 
 
 def faults(document, **parameters: str) -> list[str]:
     """Everything that is wrong with a ticket, each as a line."""
     with pytest.raises(Refused) as refused:
-        name, steps = read(document, **parameters) if isinstance(document, dict) else wire.read(document, {})
+        name, steps = read(document, **parameters) if isinstance(document, dict) else read_text(document, {})
         plan("t-1", name, steps, ORDER)
     return [str(fault) for fault in refused.value.faults]
 
@@ -192,7 +196,7 @@
         else:
             holder[key] = data.draw(st.one_of(st.none(), st.integers(-5, 10**12), st.text(max_size=5), st.just([{}])))
     try:
-        name, steps = wire.read(yaml.safe_dump(document).encode(), {})
+        name, steps = read_text(yaml.safe_dump(document).encode(), {})
         made = plan("t-1", name, steps, ORDER)
     except Refused as refused:
         assert refused.faults
