Lab: one-way loss, late copies, lone nodes, restarts at once; who was served and who forgotten

Change: World gets OneWay (deaf, unanswered, mute), copies of reports, peers that can be cut, workers that begin anew; a node's question to its siblings moves into Node so that the simulated world plays it. lab.attendance judges forgotten jobs (75 s), classes, teams and largest jobs (the top tenth by what they ask for), with tests that each check notices its breach.

--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -67,6 +67,7 @@
         random_source: random.Random,
     ) -> None:
         self.platform = platform
+        self._transport = transport
         self.wake = Event()
         self.presence = Presence(clock)
         self.store = StoreClient(transport, platform.store_address, platform.store, clock, pause, share=1.0)
@@ -189,6 +190,14 @@
             return 503, b"{}"
         return self.roster.check_in(report)
 
+    def ask_siblings(self) -> None:
+        """While out of touch, ask the siblings whether they are too."""
+        if self.intake.fresh:
+            self.intake.siblings_fresh = False
+            return
+        asked = (ask_peer(self._transport, sibling.address) for sibling in self.platform.siblings)
+        self.intake.siblings_fresh = any(asked)
+
     def stop(self) -> None:
         """Tell workers to stop what must stop, whatever a round waits for."""
         if self.mirror.loaded and self.blocks.my_zones():
@@ -348,8 +357,4 @@
     def _peers(self) -> None:
         """While out of touch, ask the siblings whether they are too."""
         sleep(PEER_EVERY)
-        intake = self.node.intake
-        if intake.fresh:
-            intake.siblings_fresh = False
-            return
-        intake.siblings_fresh = any(ask_peer(self._transport, sibling.address) for sibling in self._platform.siblings)
+        self.node.ask_siblings()
--- a/kelpjunction/lab/site.py
+++ b/kelpjunction/lab/site.py
@@ -8,6 +8,7 @@
 import orjson
 
 from kelpjunction.clock import seconds
+from kelpjunction.lab.attendance import Attendance
 from kelpjunction.lab.standins import CloudStandIn, StoreStandIn, WorkerStandIn
 from kelpjunction.settings import CloudLimits, StoreLimits, Team, WorkerTimes
 from kelpjunction.transport import NoAnswer
@@ -56,6 +57,7 @@
         self.finished: set[str] = set()
         self.starts: list[str] = []
         self.broken: list[str] = []
+        self.attendance = Attendance()
 
     def ask(self, method: str, path: str, body: bytes, node: str | None) -> tuple[int, dict]:
         """A user's request, to a node of this name or to any: status and answer; raises `NoAnswer` if none takes it."""
@@ -203,17 +205,29 @@
             "ref": ref, "stripe": "class", "crew": "red", "shape": "batch", "urgency": "standard", "fronds": tasks,
             "cpus": 2.0, "accelerators": 0.0, "ram_gb": 4.0, "bundle": "img", "image_gb": 1.0, "expect_s": 10.0,
         } | fields  # fmt: skip
+        if ref not in self.jobs:
+            self.attendance.submitted(job, self._limit_of(job), self.clock.now)
         self.jobs[ref] = job
         status, _ = self._asked("POST", JOBS_PATH, orjson.dumps(job), node)
+        self.attendance.asked(ref, status in (200, 201), self.clock.now)
         if status == 201 and ref in self.told:
             self.broken.append(f"forgotten: {ref} accepted twice")
         if status in (200, 201):
             self.told.setdefault(ref, "accepted")
+            self.attendance.accepted(ref)
+        elif status in (400, 422) and ref in self.told:
+            self.broken.append(f"forgotten: {ref} was accepted and is refused now")
         return status
 
+    def _limit_of(self, job: dict) -> int:
+        """How many of its tasks its team's limit allows at once."""
+        limit = next((t.cpus_max for t in self.teams if t.name == job["crew"]), None)
+        return job["fronds"] if limit is None else int(limit / job["cpus"])
+
     def poll(self, ref: str, node: str | None = None) -> str | None:
         """A job's state as a user is told it, checked against what was told before."""
         status, answer = self._asked("GET", f"{JOBS_PATH}/{ref}", b"", node)
+        self.attendance.asked(ref, status == 200, self.clock.now)
         if status == 404 and ref in self.told:
             self.broken.append(f"forgotten: {ref}")
         if status != 200:
@@ -226,15 +240,19 @@
             self.broken.append(f"not_done: {missing}")
         if state in ("done", "withdrawn"):
             self.told[ref] = state
+        if state == "done":
+            self.attendance.ended(ref, self.clock.now)
         return state
 
     def abort(self, ref: str, node: str | None = None) -> int | None:
         status, answer = self._asked("POST", f"{JOBS_PATH}/{ref}{ABORT_END}", b"", node)
+        self.attendance.asked(ref, status == 200, self.clock.now)
         if status == 200:
             state = answer["tide"]
             self.told[ref] = state
             if state == "withdrawn":
                 self.told_cancelled.setdefault(ref, self.clock.now)
+                self.attendance.cancelled(ref)
         return status
 
     def _unfinished(self, ref: str) -> list[str]:
@@ -274,6 +292,7 @@
             self.broken.append(f"wrong_place: too many of {ref} in {worker.zone}")
         self._check_quota(job)
         self._check_cancelled(ref)
+        self.attendance.started(ref, int(frond.partition("/")[2]), len(mates) + 1, self.clock.now)
         run = seconds(job.get("run_s", job.get("expect_s") or 10.0)) / self.speed * self.vary(RUN_SPREAD)
         ready = self.clock.now + seconds(1) / self.speed
         ends = None if job["shape"] == "service" else ready + run
--- a/kelpjunction/lab/standins.py
+++ b/kelpjunction/lab/standins.py
@@ -8,6 +8,7 @@
 from bisect import bisect_right
 from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
+from enum import Enum
 from operator import itemgetter
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qs, urlsplit
@@ -25,6 +26,14 @@
 REPORT_SPREAD, BOOT_SPREAD = (0.75, 1.25), (0.6, 1.5)  # as PROTOCOL says
 
 
+class OneWay(Enum):
+    """Which half of what a machine and the nodes say to each other is lost."""
+
+    DEAF = "deaf"  # its reports arrive; answers to them, and requests to it, don't
+    UNANSWERED = "unanswered"  # its reports arrive, and requests to it; no answer of either side does
+    MUTE = "mute"  # requests to it arrive; its reports don't, nor its answers
+
+
 class StoreStandIn:
     """The state service: keys, holds, follow."""
 
@@ -156,7 +165,9 @@
         self.session, self.sequence, self.token = 1, 0, 0
         self.tasks: dict[tuple[str, int], dict] = {}
         self.alive = True
+        self.life = 0  # how often its process was started again
         self.cut = False  # no packet gets through
+        self.one_way: OneWay | None = None  # half a cut
         self.sick = False
         self.renewed = world.clock.now
         self.node = 0
@@ -230,6 +241,14 @@
         else:
             self.unanswered()
 
+    def restart(self) -> None:
+        """Its process ended and is back at once: the tasks are gone, and it counts from the beginning again."""
+        self.session, self.sequence, self.token = 1, 0, 0
+        self.tasks.clear()
+        self.reporting, self.renewed = False, self.world.clock.now
+        self.next_report = self.world.clock.now
+        self.life += 1
+
     def unanswered(self) -> None:
         """No answer of use came to the report: the next node is tried."""
         self.reporting = False
--- a/kelpjunction/lab/world.py
+++ b/kelpjunction/lab/world.py
@@ -7,6 +7,7 @@
 import heapq
 import random
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from datetime import datetime, timedelta
 from typing import NamedTuple
 
@@ -14,13 +15,15 @@
 
 from kelpjunction.clock import ZERO, seconds
 from kelpjunction.daemon import Node
+from kelpjunction.http import PEER_PATH
 from kelpjunction.lab.site import CLOUD_LIMITS, GUEST, STORE_LIMITS, TEAMS, Site
-from kelpjunction.lab.standins import START, WorkerStandIn
+from kelpjunction.lab.standins import START, OneWay, WorkerStandIn
 from kelpjunction.settings import Operators, Platform, Sibling, StoreLimits, Team, load_operators
 from kelpjunction.transport import NoAnswer, Reply
 from kelpjunction.wire.users import ABORT_END, JOBS_PATH
 
 STORE, CLOUD = "10.2.0.1:2379", "10.2.0.2:8443"
+WORKER_PATIENCE = 4.0  # seconds that a worker waits for the answer to its report
 
 
 class SimClock:
@@ -78,6 +81,9 @@
         self._beats = 0  # steps of time there have been: short runs must not keep slow loops from their turn
         self.held_for = (1.0, 25.0)
         self.cut_from_store: set[str] = set()
+        self.cut_from_peers: set[str] = set()
+        # How many seconds late copies of a report come again, if any do, and to which nodes.
+        self.copies: Callable[[WorkerStandIn], list[tuple[float, str]]] = lambda worker: []
         self.filter: Callable[[str, str, str], str | None] = self._weathered
         # How long a node stands still before this request leaves it, if at all.
         self.stand_still: Callable[[str, str, str], float] = lambda source, target, path: 0.0
@@ -168,11 +174,17 @@
                 raise NoAnswer("the process was killed meanwhile")
         if address == STORE and source in self.cut_from_store:
             return Reply(503, {})
+        if path == PEER_PATH:
+            return self.peer(source, address)
         handler = self._handler(address)
         fate = self.filter(source, address, path)
         if fate == "held":
             # Held back: the sender gives up, and it is carried out later.
-            self.later(self.random.uniform(*self.held_for), lambda: handler(method, path, body))
+            def carry_out_late() -> None:
+                with suppress(NoAnswer):
+                    handler(method, path, body)
+
+            self.later(self.random.uniform(*self.held_for), carry_out_late)
             raise NoAnswer("held back")
         if fate == "lost":
             raise NoAnswer("request lost")
@@ -187,21 +199,36 @@
         return self.random.choice(["held", "lost", "answer lost"])
 
     def send_report(self, worker: WorkerStandIn, fields: dict) -> None:
-        if self.weather is None:
-            super().send_report(worker, fields)
-            return
-        sent_at = self.clock.now
-        there, back = (self.random.uniform(*self.weather.delay) for _ in range(2))
+        sent_at, life = self.clock.now, worker.life
+        there, back = (0.0, 0.0) if self.weather is None else (self.random.uniform(*self.weather.delay) for _ in "ab")
+        for late, name in self.copies(worker):
+            self.later(late, lambda name=name: self._copy(name, fields))
+
+        def unless_restarted(act: Callable[[], None]) -> Callable[[], None]:
+            return lambda: act() if worker.life == life else None
 
         def arrive() -> None:
+            if worker.one_way is OneWay.MUTE:
+                self.later(WORKER_PATIENCE, unless_restarted(worker.unanswered))
+                return
             try:
                 status, answer = self.reach_node(worker, worker.node, fields)
             except NoAnswer:
                 worker.unanswered()
                 return
-            self.later(back, lambda: worker.answered(fields, sent_at, status, answer))
+            if worker.one_way is not None:
+                self.later(WORKER_PATIENCE, unless_restarted(worker.unanswered))
+                return
+            answered = unless_restarted(lambda: worker.answered(fields, sent_at, status, answer))
+            self.later(back, answered) if back else answered()
 
-        self.later(there, arrive)
+        self.later(there, unless_restarted(arrive)) if there else arrive()
+
+    def _copy(self, name: str, fields: dict) -> None:
+        """A copy of an old report comes in at a node; nobody waits for the answer."""
+        node = self.nodes[name]
+        if node is not None and name not in self.frozen:
+            node.check_in(orjson.dumps(fields))
 
     def _handler(self, address: str):
         if address == STORE:
@@ -209,9 +236,24 @@
         if address == CLOUD:
             return self.cloud.handle
         worker = self.cloud.at.get(address)
-        if worker is not None and worker.alive and not worker.cut:
-            return lambda m, p, b: worker.handle(m, p, b) if worker.alive else Reply(503, {})
-        raise NoAnswer("nobody there")
+        if worker is None or not worker.alive or worker.cut or worker.one_way is OneWay.DEAF:
+            raise NoAnswer("nobody there")
+
+        def carry_out(method: str, path: str, body: dict) -> Reply:
+            reply = worker.handle(method, path, body) if worker.alive else Reply(503, {})
+            if worker.one_way is not None:
+                raise NoAnswer("answer lost")
+            return reply
+
+        return carry_out
+
+    def peer(self, source: str, address: str) -> Reply:
+        """A sibling's answer to whether it hears the state service."""
+        name = next(f"holdfast-{i}" for i in range(3) if address == f"10.0.0.{i}:8081")
+        node = self.nodes[name]
+        if node is None or name in self.frozen or self.cut_from_peers & {source, name}:
+            raise NoAnswer("no sibling there")
+        return Reply(200, {"fresh": node.intake.fresh})
 
     def reach_node(self, worker: WorkerStandIn, number: int, fields: dict) -> tuple[int, dict]:
         name = f"holdfast-{number}"
@@ -293,6 +335,7 @@
             node.watch.step()
         if beat % 10 == 0:
             node.fleet.step()
+            node.ask_siblings()
             node.keep()
 
 
--- /dev/null
+++ b/tests/test_attendance.py
@@ -0,0 +1,34 @@
+"""The checks of whole runs mean something only if each notices its breach."""
+
+from traces import served
+
+from kelpjunction.clock import seconds
+from kelpjunction.wire.users import JOBS_PATH
+
+
+def test_check_notices_a_job_that_nobody_answers_about():
+    world = served()
+    world.submit("j-1", run_s=200.0)
+    world.submit("j-2", run_s=200.0)
+    for node in world.nodes.values():
+        status = node.intake.status
+        node.intake.status = lambda ref, status=status: status("nonsense") if ref == "j-1" else status(ref)
+    world.attendance.troubles_over(world.clock.now)
+    for _ in range(17):
+        world.run(5)
+        for ref in ("j-1", "j-2"):
+            world.attendance.asked(ref, world.ask("GET", f"{JOBS_PATH}/{ref}", b"", None)[0] == 200, world.clock.now)
+    assert list(world.attendance.forgotten) == ["j-1"]
+
+
+def test_check_notices_classes_teams_and_largest_jobs_that_are_not_served():
+    world = served(machines=2, capacity=2)
+    world.submit("j-1", run_s=5.0, stripe="small", crew="blue")
+    world.submit("j-2", run_s=5.0, stripe="large", crew="red")
+    world.submit("j-3", 8, cpus=4.0, shape="ensemble", stripe="large", crew="red", mark_s=5.0, stow_s=1.0)
+    world.run(30)
+    rows = {row.name: row for row in world.attendance.served(world.clock.now)}
+    assert rows["small"].enough and rows["team blue"].enough and rows["large"].enough, "half of two is enough"
+    assert rows["largest of large"].begun == 0 and not rows["largest of large"].enough
+    later = {row.name: row for row in world.attendance.served(world.clock.now + seconds(240))}
+    assert later["largest of large"].late == ("j-3",)
