Contact: a round trip proves a machine, a report alone does not

Change: workers.contact decides in one place what a message is worth (old, claim, proof). Only proof settles by absence or by a new session; a claim is followed by a question. A machine that answers nothing gets no work and no 200, so that its lease surely ends, and comes back after two round trips. A lower session than a placement's, proved, settles it once no start can be under way.

--- a/kelpjunction/fleet/watch.py
+++ b/kelpjunction/fleet/watch.py
@@ -21,6 +21,7 @@
 from kelpjunction.store.client import Ending, StoreClient, StoreDown, Transaction
 from kelpjunction.store.mirror import Mirror
 from kelpjunction.wire.messages import Cause, Report
+from kelpjunction.workers.contact import Reach
 from kelpjunction.workers.roster import Roster
 
 log = logging.getLogger("fleet")
@@ -90,7 +91,7 @@
         return list(machine.images) if machine else []
 
     def _seen(self, report: Report) -> None:
-        """A worker reported: its machine is up."""
+        """A worker that this node reaches reported: its machine is up."""
         machine = self._inventory.adopt(report.machine, report.type, report.zone, report.spot, report.address)
         machine.silent_visits = 0
         now = self._clock.steady()
@@ -134,12 +135,14 @@
         mine = [m for m in self.mine() if m.state not in (MachineState.BOOTING, MachineState.RETURNING)]
         for machine in mine:
             worker = self._roster.workers.get(machine.name)
-            heard_at = worker.heard_at if worker else self._blocks.mine(machine.zone).since
+            proved_at = worker.contact.proved_at if worker else None
+            deaf = worker is not None and worker.contact.reach is Reach.DEAF
             # While this node stood still, nobody could be heard.
-            if now - max(heard_at, self._presence.since) <= limit:
+            since = max(proved_at or self._blocks.mine(machine.zone).since, self._presence.since)
+            if now - since <= limit and not deaf:
                 continue
             if machine.state in (MachineState.UP, MachineState.LEAVING):
-                machine.become(MachineState.SILENT, now, "no report")
+                machine.become(MachineState.SILENT, now, "it does not answer" if deaf else "no report")
             self._spawn(self._visit_silent, machine)
         self._judge(now)
         if self.deaf or (mine and all(m.state is MachineState.SILENT for m in mine)):
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -37,6 +37,7 @@
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Transaction
 from kelpjunction.wire.messages import Cause, JobSpec, Shape, TaskId
+from kelpjunction.workers.contact import Reach
 from kelpjunction.workers.roster import Roster
 
 log = logging.getLogger("jobs")
@@ -425,13 +426,13 @@
         heard_since = self._clock.steady() - self._platform.workers.report * 2.5
         ours = set(self._blocks.my_zones())
         workers = self._roster.workers
-        return [v for v in self._kept.fresh() if v.zone in ours and workers[v.name].heard_at >= heard_since]
+        return [v for v in self._kept.fresh() if v.zone in ours and workers[v.name].contact.proved_at >= heard_since]
 
     def _view(self, name: str) -> View | None:
         """A machine that reports to us and is not about to be taken."""
         worker, machine = self._roster.workers.get(name), self._fleet.machines.get(name)
         type_ = self._fleet.catalog.get(machine.type) if machine else None
-        if worker is None or type_ is None or not machine.usable:
+        if worker is None or type_ is None or not machine.usable or worker.contact.reach is not Reach.REACHED:
             return None
         images = cached(reversed(worker.images.items()), type_.cache_gb)
         return view_of(machine, type_, images, self._book.load(name), self._fleet)
--- /dev/null
+++ b/kelpjunction/workers/contact.py
@@ -0,0 +1,114 @@
+"""What is known of a worker, with its evidence and its age: one place decides it, pure.
+
+A report proves that its worker lived when it was sent, not that it lives now, nor that anything
+reaches it: reports come late, and come again as copies, and a machine may lose all that is sent to
+it while its reports arrive.  What proves both is a round trip: an answer to a request of ours, or a
+report whose number follows on the one we answered (a worker without an answer goes to another node,
+so the next number is spent there).
+"""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+from kelpjunction.clock import ZERO, seconds
+
+PATIENCE = seconds(4.5)  # a worker drops what answers a report after 4 s
+DEAF_AFTER = 2  # requests in turn without an answer, and no other proof between them
+PROOFS = 2  # that a deaf worker must give, a report's time apart, before it counts again
+
+Number = tuple[int, int]  # session and sequence: the larger one is the newer message
+
+
+class Reach(Enum):
+    """UNASKED -> REACHED <-> DEAF; `Contact._stand` makes every change."""
+
+    UNASKED = "unasked"  # heard of, by what may be a copy; nothing has reached it from here yet
+    REACHED = "reached"
+    DEAF = "deaf"  # whatever its reports say, nothing sent to it is answered
+
+
+class Word(Enum):
+    """What a message is worth."""
+
+    OLD = "old"  # not newer than what is known: nothing of it counts
+    CLAIM = "claim"  # newer, but perhaps itself a copy from the past
+    PROOF = "proof"  # of a worker that lives and is reached
+
+
+@dataclass(slots=True)
+class Contact:
+    """A worker's numbers, and whether it is reached."""
+
+    report: timedelta  # how often workers report
+    reach: Reach = Reach.UNASKED
+    newest: Number = (0, 0)
+    newest_at: timedelta = ZERO  # when that message came
+    proved_at: timedelta | None = None  # the last round trip
+    failures: int = 0  # requests in turn without an answer
+    proofs: int = 0  # since it was deaf
+    restarted: bool = False  # its numbers began anew: copies of its life before may be larger
+
+    def heard(self, number: Number, now: timedelta) -> Word:
+        """A report came.
+
+        Of a worker that began anew none counts: what it answers when it is asked does.
+        """
+        if self.restarted or number <= self.newest:
+            return Word.OLD
+        # Directly behind a message that we answered, or that answered us.
+        follows = self.newest == (number[0], number[1] - 1) and self.reach is Reach.REACHED
+        self.newest, self.newest_at = number, now
+        if not follows:
+            return Word.CLAIM
+        self._prove(now)
+        return Word.PROOF
+
+    def replied(self, number: Number, asked: Number, now: timedelta) -> tuple[Word, bool]:
+        """An answer to a request of ours came; `asked` is what was the newest when that was sent.
+
+        Returns its worth, and whether the worker began anew: what it says to a
+        request is newer than all we knew before, so if its number is not, it counts from the beginning.
+        """
+        began_anew = number <= asked
+        if not began_anew and number <= self.newest:
+            # Others overtook it; that it came proves as much all the same.
+            self._prove(now)
+            return Word.OLD, False
+        self.restarted = self.restarted or began_anew
+        self.newest, self.newest_at = number, now
+        self._prove(now)
+        return Word.PROOF, began_anew
+
+    def unanswered(self) -> None:
+        """A request of ours got no answer."""
+        self.failures += 1
+        self.proofs = 0
+        if self.failures >= DEAF_AFTER:
+            self._stand(Reach.DEAF)
+
+    def _prove(self, now: timedelta) -> None:
+        if self.reach is Reach.DEAF:
+            if self.proofs and now - self.proved_at < self.report:
+                return  # too soon behind the first to say more than that did
+            self.proofs += 1
+        self.proved_at, self.failures = now, 0
+        if self.reach is not Reach.DEAF or self.proofs >= PROOFS:
+            self._stand(Reach.REACHED)
+
+    def _stand(self, reach: Reach) -> None:
+        """The one place where `reach` changes."""
+        if reach is not self.reach:
+            self.reach, self.proofs = reach, 0
+
+    @property
+    def lost(self) -> bool:
+        """Whether nothing reaches it: who has answered once is not given up again at once."""
+        return self.reach is Reach.DEAF and not self.proofs
+
+    def may_wait(self, number: Number, now: timedelta) -> bool:
+        """Whether the sender of this report may still wait for its answer, which would then renew its lease.
+
+        Not if we knew a later message for longer than a worker waits: it has given this one up.
+        """
+        return number >= self.newest or now - self.newest_at < PATIENCE
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -16,6 +16,7 @@
 from kelpjunction.wire import workers as wire
 from kelpjunction.wire.messages import Cause, Command, Report, TaskId, TaskReport, TaskState, Verb
 from kelpjunction.wire.users import Malformed
+from kelpjunction.workers.contact import Contact, Number, Reach, Word
 
 log = logging.getLogger("workers")
 
@@ -36,8 +37,8 @@
     machine: str
     address: str
     zone: str
+    contact: Contact
     session: int = 0
-    sequence: int = 0
     token: int = 0
     heard_at: timedelta = ZERO
     answered_at: timedelta | None = None  # when its lease was last renewed, at the latest
@@ -75,6 +76,7 @@
         self.starts = self.stops = 0  # sent straight to workers since this process began
         self.settled: Counter[Cause] = Counter()
         self.bump_zones: set[str] = set()
+        self._asking: set[str] = set()  # addresses whose workers are being asked how they stand
         self.on_seen: Callable[[Report], None] = lambda report: None
         self.images_of: Callable[[str], list[str]] = lambda machine: []
         self.on_exit: Callable[[Placement], None] = lambda placement: None
@@ -93,29 +95,41 @@
         if not self._leadership.in_touch() or token is None or report.token > token:
             return 503, b"{}"
         now = self._clock.steady()
-        self._take(report, now, direct=False)
-        worker = self.workers[report.machine]
+        number = (report.session, report.sequence)
+        worker = self._worker(report)
+        word = worker.contact.heard(number, now)
+        self._take(worker, report, word, now)
+        if word is not Word.PROOF and worker.contact.may_wait(number, now):
+            self._spawn(self.visit, worker.address)
+        if worker.contact.lost or not worker.contact.may_wait(number, now):
+            # Each 200 may renew its lease, so none is said to a machine that can't be told to stop
+            # anything, nor to a copy: it may find a node that reaches it, else its lease runs out.
+            return 503, b"{}"
         worker.answered_at = now
         if report.session < worker.session:
             return 503, b"{}"
         commands = self._commands_for(worker, token, now)
         return 200, wire.check_in_answer(token, commands)
 
-    def _take(self, report: Report, now: timedelta, direct: bool) -> None:
-        """Take in a report, unless a newer one is known already."""
+    def _worker(self, report: Report) -> Worker:
+        """The worker that a message tells of, known from now on if it was not."""
         worker = self.workers.get(report.machine)
         if worker is None:
             # Commands of earlier holders may still be under way, under any
             # token below ours.
-            worker = Worker(report.machine, report.address, report.zone)
+            worker = Worker(report.machine, report.address, report.zone, Contact(self._times.report))
             worker.doubt = (self._blocks.token(report.zone) or 1) - 1
             worker.images = dict.fromkeys(self.images_of(report.machine), 0.0)
             self.workers[report.machine] = worker
             self._changes.note(report.machine)
-        if (report.session, report.sequence) <= (worker.session, worker.sequence):
-            return
-        new_session = report.session > worker.session
-        worker.session, worker.sequence = report.session, report.sequence
+        return worker
+
+    def _take(self, worker: Worker, report: Report, word: Word, now: timedelta) -> None:
+        """Take in a message for what it is worth."""
+        new_session = report.session != worker.session
+        if word is Word.OLD or (word is Word.CLAIM and worker.session and new_session):
+            return  # a copy from before its process was started again may name a higher session: it is asked
+        worker.session = report.session
         ours = self._blocks.token(worker.zone) or 0
         if new_session or worker.token < ours <= report.token:
             # A new session's lease runs from its beginning, not from what was
@@ -128,22 +142,47 @@
         worker.tasks = {}
         for told in report.tasks:
             worker.tasks.setdefault(told.task, []).append(told)
-        self.on_seen(report)
+        if worker.contact.reach is Reach.REACHED:
+            self.on_seen(report)
         listed: set[Placement] = set()
         for told in report.tasks:
             placement = self._book.placement(told.task)
             if self._is_here(placement, worker, told.attempt):
                 listed.add(placement)
                 self._hear(worker, placement, told, now)
-        for placement in list(self._book.on(worker.machine).values()):
-            if placement.session < worker.session:
-                # The worker killed everything of that session when it ended.
-                self.settle(placement, Cause.LOST, now)
-            elif placement not in listed and not direct:
-                self._hear_nothing(worker, placement, now)
+        if word is Word.PROOF:
+            for placement in list(self._book.on(worker.machine).values()):
+                if placement.session < worker.session:
+                    # The worker killed everything of that session when it ended.
+                    self.settle(placement, Cause.LOST, now)
+                elif placement.session > worker.session:
+                    self._hear_of_another_life(worker, placement, now)
+                elif placement not in listed:
+                    self._hear_nothing(worker, placement, now)
         if new_session:
             self._wake()
 
+    def _hear_of_another_life(self, worker: Worker, placement: Placement, now: timedelta) -> None:
+        """The worker proved a lower session than the placement's: its process was started again meanwhile.
+
+        Nothing of before is there any more; but it will come to that session
+        again, and must not find a start for it then that is still under way.
+        """
+        if self._nothing_under_way(worker):
+            self.settle(placement, Cause.LOST, now)
+
+    def _nothing_under_way(self, worker: Worker) -> bool:
+        """Whether no command of before can reach the worker any more; if it can for ever, a higher token ends that."""
+        if worker.doubt >= (self._blocks.token(worker.zone) or 0):
+            self.bump_zones.add(worker.zone)
+        return worker.token > worker.doubt
+
+    def _begin_anew(self, worker: Worker, report: Report) -> None:
+        """The worker's process was started again: all it had is gone, and starts sent to it before may still arrive."""
+        log.info("worker %s counts from the beginning again", worker.machine)
+        worker.token = report.token
+        worker.doubt = max(worker.doubt, self._blocks.token(worker.zone) or 0)
+
     def _is_here(self, placement: Placement | None, worker: Worker, attempt: int) -> bool:
         return (
             placement is not None
@@ -179,7 +218,7 @@
         later, unless the worker has seen a higher token since.
         """
         gone = placement.seen or not placement.live
-        if gone and placement.inflight == 0 and worker.token > worker.doubt:
+        if gone and placement.inflight == 0 and self._nothing_under_way(worker):
             self.settle(placement, Cause.STOPPED if not placement.live else Cause.LOST, now)
 
     def settle(self, placement: Placement, cause: Cause, now: timedelta, saved: bool = False) -> None:
@@ -266,32 +305,70 @@
 
     def _post(self, worker: Worker, token: int, session: int, commands: list[Command]) -> bool:
         body = wire.commands_body(token, session, commands)
+        return self._request(worker.address, "POST", wire.COMMANDS_PATH, body, DIRECT_TIMEOUT)
+
+    def visit(self, address: str) -> bool:
+        """Ask a worker how it stands, without waiting for its report.
+
+        True if it answered; also if somebody is asking it already, who will know.
+        """
+        if address in self._asking:
+            return True
+        self._asking.add(address)
+        try:
+            return self._request(address, "GET", wire.STATUS_PATH, None, VISIT_TIMEOUT)
+        finally:
+            self._asking.discard(address)
+
+    def _request(self, address: str, method: str, path: str, body: bytes | None, timeout: timedelta) -> bool:
+        """One exchange with a worker, whose answer is its report; whether it came."""
+        asked = {name: w.contact.newest for name, w in self.workers.items() if w.address == address}
         try:
-            reply = self._transport.request(worker.address, "POST", wire.COMMANDS_PATH, body, DIRECT_TIMEOUT)
+            reply = self._transport.request(address, method, path, body, timeout)
+            if reply.status not in (200, 409):
+                raise NoAnswer(f"status {reply.status}")
         except NoAnswer as error:
-            log.info("commands to %s: no answer (%s)", worker.machine, error)
-            return False
-        if reply.status not in (200, 409):
+            if path == wire.COMMANDS_PATH:
+                log.info("commands to %s: no answer (%s)", address, error)
+            for name in asked:
+                if worker := self.workers.get(name):
+                    reach = worker.contact.reach
+                    worker.contact.unanswered()
+                    self._note_reach(worker, reach)
             return False
-        return self._take_reply(reply.fields)
-
-    def _take_reply(self, fields: dict) -> bool:
         try:
-            report = wire.report_from_fields(fields)
+            report = wire.report_from_fields(reply.fields)
         except Malformed as error:
             log.error("odd report from a worker: %s", error)
             return False
         if self._blocks.mine(report.zone) is not None:
-            self._take(report, self._clock.steady(), direct=True)
+            self._take_reply(report, asked.get(report.machine, (0, 0)))
         return True
 
-    def visit(self, address: str) -> bool:
-        """Ask a worker how it stands, without waiting for its report."""
-        try:
-            reply = self._transport.request(address, "GET", wire.STATUS_PATH, None, VISIT_TIMEOUT)
-        except NoAnswer:
-            return False
-        return reply.status == 200 and self._take_reply(reply.fields)
+    def _take_reply(self, report: Report, asked: Number) -> None:
+        """Take in a worker's answer; `asked` is the newest that was known of it when it was asked."""
+        worker, now = self._worker(report), self._clock.steady()
+        reach = worker.contact.reach
+        word, began_anew = worker.contact.replied((report.session, report.sequence), asked, now)
+        if began_anew:
+            self._begin_anew(worker, report)
+        self._note_reach(worker, reach)
+        self._take(worker, report, word, now)
+
+    def _note_reach(self, worker: Worker, before: Reach) -> None:
+        """Name a worker that is not reached any more, or is again, and have it judged anew."""
+        reach = worker.contact.reach
+        if reach is before:
+            return
+        if Reach.DEAF in (reach, before):
+            how = "is not reached: what is sent to it gets no answer" if reach is Reach.DEAF else "is reached again"
+            log.info("worker %s %s", worker.machine, how)
+        self._changes.note(worker.machine)
+        self._wake()
+
+    def deaf(self) -> int:
+        """How many workers report here or did, and are not reached."""
+        return sum(worker.contact.reach is Reach.DEAF for worker in self.workers.values())
 
     # -- leases -------------------------------------------------------------
 
@@ -320,7 +397,7 @@
         now = self._clock.steady()
         for machine, load in self._book.loads.items():
             worker = self.workers.get(machine)
-            if worker is not None and now - worker.heard_at < self._times.lease:
+            if worker is not None and not worker.contact.lost and now - worker.heard_at < self._times.lease:
                 continue  # heard of within a lease: whatever is reckoned, it has not ended
             end = self.lease_end(machine, next(iter(load.placements.values())).zone)
             if end is not None and now > end:
--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from kelpjunction.lab.standins import OneWay
 from kelpjunction.lab.world import World, seconds
 
 
@@ -47,7 +48,7 @@
         return [
             self._submit, self._submit, self._submit, self._abort, self._kill_node, self._start_nodes,
             self._cut_store, self._heal, self._outage, self._worker_cut, self._worker_dies, self._noise, self._spot,
-            self._freeze,
+            self._freeze, self._one_way, self._copies, self._alone, self._node_blinks, self._worker_blinks,
         ]  # fmt: skip
 
     def _submit(self) -> None:
@@ -87,11 +88,42 @@
         self.world.cut_from_store = {self.random.choice(list(self.world.nodes))}
 
     def _heal(self) -> None:
-        self.world.cut_from_store = set()
+        self.world.cut_from_store = self.world.cut_from_peers = set()
+        self.world.copies = lambda worker: []
         self.world.store.outage(False)
         self.loss = 0.0
         for worker, _ in self.world.cloud.machines.values():
-            worker.cut = False
+            worker.cut, worker.one_way = False, None
+
+    def _one_way(self) -> None:
+        for _ in range(self.random.choice([1, 1, 3])):
+            if worker := self._worker():
+                worker.one_way = self.random.choice(list(OneWay))
+
+    def _copies(self) -> None:
+        """From now on some reports come again, seconds to three leases later, to whatever node."""
+        lease = self.world.times.lease.total_seconds()
+        names, random = list(self.world.nodes), self.random
+        self.world.copies = lambda worker: (
+            [(random.uniform(2, 3 * lease), random.choice(names))] if random.random() < 0.3 else []
+        )
+
+    def _alone(self) -> None:
+        """A node loses the state service and its siblings, but not its workers and users."""
+        self.world.cut_from_store = self.world.cut_from_peers = {self.random.choice(list(self.world.nodes))}
+
+    def _node_blinks(self) -> None:
+        """A process ends and is back at once, perhaps several times."""
+        name = self.random.choice(list(self.world.nodes))
+        for _ in range(self.random.choice([1, 1, 4])):
+            self.world.kill_node(name)
+            self.world.run(self.random.uniform(0.05, 1))
+            self.world.start_node(name)
+            self.world.run(self.random.uniform(0.05, 1))
+
+    def _worker_blinks(self) -> None:
+        if worker := self._worker():
+            worker.restart()
 
     def _outage(self) -> None:
         self.world.store.outage(True)
@@ -119,7 +151,9 @@
     def _recover(self) -> None:
         self._heal()
         self._start_nodes()
-        self.world.run(120)
-        for ref in self.refs:
-            if ref in self.world.told and self.world.told[ref] == "accepted":
-                self.world.poll(ref)
+        self.world.attendance.troubles_over(self.world.clock.now)
+        for _ in range(24):
+            self.world.run(5)
+            for ref in self.refs:
+                if self.world.told.get(ref) == "accepted":
+                    self.world.poll(ref)
--- /dev/null
+++ b/tests/test_contact.py
@@ -0,0 +1,192 @@
+"""What is believed of a machine: reports that come late or alone prove nothing, round trips do."""
+
+import orjson
+import pytest
+from traces import served, worker_of
+
+from kelpjunction.clock import seconds
+from kelpjunction.fleet.machines import MachineState
+from kelpjunction.lab.standins import OneWay
+from kelpjunction.workers.contact import Contact, Reach, Word
+
+
+def holder_of(world, worker):
+    return next(n for n in world.nodes.values() if n is not None and n.blocks.mine(worker.zone))
+
+
+def workers(world):
+    return [worker for worker, _ in world.cloud.machines.values()]
+
+
+def copy_of(worker) -> bytes:
+    """A report as the worker would send it now; only the copy of it ever arrives."""
+    return orjson.dumps(worker.report())
+
+
+# A machine that hears nothing
+
+
+@pytest.mark.parametrize("one_way", OneWay)
+def test_machine_that_hears_nothing_gets_no_work_and_loses_its_own_to_others(one_way):
+    world = served(machines=6, capacity=6)
+    world.submit("j-1", 3, shape="service", urgency="prod")
+    assert world.run(10, lambda: len(world.running("j-1")) == 3)
+    lost = worker_of(world, "j-1/0")
+    lost.one_way = one_way
+    world.run(8)
+    assert world.submit("j-2", 12, run_s=5.0) == 201
+    world.run(40)
+    assert world.broken == []
+    assert lost.name not in world.cloud.machines or not [t for t, m in world.running() if m == lost.name]
+    assert len(world.running("j-1")) == 3, "its replica runs elsewhere"
+    assert world.poll("j-2") == "done"
+
+
+@pytest.mark.parametrize("what", ["a zone", "all but one", "the only one"])
+def test_many_machines_that_hear_nothing_at_once(what):
+    """Each 200 might renew a lease, so none is said to them: what they had is settled when the leases have ended."""
+    world = served(machines=1 if what == "the only one" else 9, capacity=12)
+    world.submit("j-1", 2, run_s=60.0)
+    world.submit("j-2", 2, shape="ensemble", mark_s=5.0, stow_s=1.0, run_s=60.0)
+    world.run(4)
+    hit = [w for w in workers(world) if what != "a zone" or w.zone == "a"]
+    for worker in hit[: -1 if what == "all but one" else None]:
+        worker.one_way = OneWay.DEAF
+    world.run(90)
+    for worker in workers(world):
+        worker.one_way = None
+    assert world.run(150, lambda: world.poll("j-1") == world.poll("j-2") == "done")
+    assert world.broken == []
+
+
+def test_machine_comes_back_into_use_after_round_trips_and_not_before():
+    world = served(machines=3, capacity=3)
+    worker = next(w for w in workers(world) if w.zone == "a")
+    holder = holder_of(world, worker)
+    holder.watch._looks_cut = lambda zone: True  # so that it is not returned meanwhile
+    worker.one_way = OneWay.DEAF
+    assert world.run(20, lambda: not holder.inventory.machines[worker.name].usable)
+    world.run(10)
+    contact = holder.roster.workers[worker.name].contact
+    assert contact.reach is Reach.DEAF
+    worker.one_way = None
+    assert world.run(20, lambda: contact.proofs == 1)
+    assert not holder.inventory.machines[worker.name].usable, "once may be chance"
+    assert world.run(10, lambda: holder.inventory.machines[worker.name].usable)
+
+
+# Late copies
+
+
+def test_late_copy_settles_nothing_at_a_node_that_remembers_nothing():
+    """Found by random schedules: a copy from before the worker's restart named a later message, and lacked the task."""
+    world = served(machines=3, capacity=3)
+    worker = workers(world)[0]
+    worker.sequence += 100
+    copy = copy_of(worker)
+    worker.restart()
+    world.run(10)
+    world.submit("j-1", run_s=60.0, bay=worker.zone)
+    assert world.run(10, lambda: world.running("j-1") != [])
+    name = holder_of(world, worker).platform.node
+    world.kill_node(name)
+    world.start_node(name)
+    assert world.run(10, lambda: any(n.blocks.mine(worker.zone) for n in world.nodes.values()))
+    for _ in range(3):
+        holder_of(world, worker).check_in(copy)
+        world.run(2)
+    assert world.running("j-1") == [("j-1/0", worker.name)]
+    assert world.broken == []
+
+
+def test_late_copy_revives_no_machine_that_was_returned():
+    world = served(machines=4, capacity=4)
+    worker = workers(world)[0]
+    copy = copy_of(worker)
+    world.cloud.handle("POST", "/rentals/return", {"holdfasts": [worker.name]})
+    for name in list(world.nodes):  # nodes that remember nothing
+        world.kill_node(name)
+        world.start_node(name)
+    world.store.data = {k: v for k, v in world.store.data.items() if not k.startswith("l/machine/")}
+    assert world.run(20, lambda: any(n.blocks.mine(worker.zone) for n in world.nodes.values()))
+    holder = holder_of(world, worker)
+    for _ in range(5):
+        holder.check_in(copy)
+        world.run(1)
+        machine = holder.inventory.machines.get(worker.name)
+        assert machine is None or not machine.usable
+    assert worker.name not in {v.name for v in holder.holding._views()}
+
+
+def test_late_copy_renews_no_lease_and_no_silence():
+    world = served(machines=3, capacity=3)
+    worker = workers(world)[0]
+    copy = copy_of(worker)
+    world.run(6)
+    holder = holder_of(world, worker)
+    known = holder.roster.workers[worker.name]
+    worker.cut = True
+    world.run(3)
+    answered, proved = known.answered_at, known.contact.proved_at
+    assert holder.check_in(copy)[0] == 503
+    assert (known.answered_at, known.contact.proved_at) == (answered, proved)
+
+
+# A worker that is back at once
+
+
+@pytest.mark.parametrize("forgetful", [False, True])
+def test_worker_that_counts_from_the_beginning_again_is_told_from_a_copy_by_asking(forgetful):
+    world = served(machines=3, capacity=3)
+    world.submit("j-1", 2, run_s=30.0)
+    assert world.run(10, lambda: len(world.running("j-1")) == 2)
+    worker = worker_of(world, "j-1/0")
+    worker.session = 5  # as if its lease had ended a few times before
+    world.run(10)
+    worker.restart()
+    if forgetful:
+        name = holder_of(world, worker).platform.node
+        world.kill_node(name)
+        world.start_node(name)
+    assert world.run(120, lambda: world.poll("j-1") == "done")
+    assert world.broken == []
+    assert worker.name in world.cloud.machines, "it was not given up for its silence"
+
+
+# The decision itself
+
+
+def test_contact_believes_round_trips():
+    contact = Contact(seconds(2))
+    assert contact.heard((1, 1), seconds(0)) is Word.CLAIM, "the first report may be a copy"
+    assert contact.replied((1, 2), (1, 1), seconds(0)) == (Word.PROOF, False)
+    assert contact.heard((1, 3), seconds(2)) is Word.PROOF, "it stayed, so it had our answer"
+    assert contact.heard((1, 5), seconds(8)) is Word.CLAIM, "it has been elsewhere meanwhile"
+    assert contact.heard((1, 4), seconds(9)) is Word.OLD
+    assert contact.replied((1, 4), (1, 5), seconds(9)) == (Word.PROOF, True), "asked now, it counts from before"
+    assert contact.heard((1, 6), seconds(9)) is Word.OLD, "copies of its life before may count higher"
+
+
+def test_contact_gives_up_and_takes_back_with_hysteresis():
+    contact = Contact(seconds(2))
+    contact.replied((1, 1), (0, 0), seconds(0))
+    contact.unanswered()
+    assert contact.reach is Reach.REACHED
+    contact.unanswered()
+    assert contact.reach is Reach.DEAF and contact.lost
+    contact.replied((1, 2), (1, 1), seconds(5))
+    contact.replied((1, 3), (1, 2), seconds(6))
+    assert contact.reach is Reach.DEAF and not contact.lost
+    contact.replied((1, 4), (1, 3), seconds(7))
+    assert contact.reach is Reach.REACHED
+
+
+def test_machine_behind_a_one_way_loss_is_named_for_what_it_is(caplog):
+    caplog.set_level("INFO")
+    world = served(machines=6, capacity=6)
+    worker = workers(world)[0]
+    worker.one_way = OneWay.DEAF
+    holder = holder_of(world, worker)
+    assert world.run(20, lambda: holder.inventory.machines[worker.name].state is MachineState.RETURNING)
+    assert holder.roster.deaf() == 1
+    assert f"worker {worker.name} is not reached: what is sent to it gets no answer" in caplog.messages
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -66,8 +66,8 @@
     assert holder.book.jobs["j-1"].placed_count() == 1, "the start may still arrive under this token"
     del holder.blocks.raise_tokens
     world.run(0.3)
-    report |= {"tally": report["tally"] + 1, "helm": holder.blocks.token(worker.zone)}
-    holder.check_in(orjson.dumps(report))
+    worker.token = holder.blocks.token(worker.zone)
+    holder.check_in(orjson.dumps(worker.report()))
     assert world.run(1, lambda: "j-1" not in holder.book.jobs), "a higher token rules that out"
 
 
