Queue: large jobs that have waited a minute come next, and gangs keep what is held for them

Arrays that found no room were put on machines held for a gang (make_room looked past the hold); holders let arrays choose before gangs, so that a gang the leader had found room for fitted no more; a team's small jobs took each gap in its limit; the last tasks of a large array stood behind each array that came. Change: a job that asks for more than half of what its class's largest does presses after a minute until it has begun whole: it comes right behind services, the oldest first, a gang with its team's room kept, unless the team's services leave none (told by name). Arrays stay off held machines; holders place gangs first. Large work that no objective names waits two minutes for cheap room in place of five. Measured on the simulated clock: two gangs that need every machine begin beside a stream of arrays that fills them (the second never began before); an array of 60 on 12 places begins whole in time.

--- a/kelpjunction/fleet/cloud.py
+++ b/kelpjunction/fleet/cloud.py
@@ -15,7 +15,7 @@
 from kelpjunction.jobs.book import Book, Job
 from kelpjunction.leadership import LEAD_KEY, Reign
 from kelpjunction.placement import Budget, cheapest_slot, slots_on, type_fits
-from kelpjunction.queue import Rights
+from kelpjunction.queue import Giants, Rights
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Ending, Service, StoreClient, StoreDown
 from kelpjunction.store.mirror import Mirror
@@ -34,6 +34,7 @@
 LOOK_EVERY = timedelta(seconds=1)  # pause between two looks at all machines; what is judged there takes tens of seconds
 TOLD_EVERY = timedelta(seconds=1)  # how long what was settled with the cloud may go untold if nobody waits for it
 PATIENCE = timedelta(minutes=5)  # how long work that no objective names waits for cheap room
+LARGE_PATIENCE = timedelta(minutes=2)  # the largest of it, which is to begin within four minutes
 
 
 class NoCloud(Exception):
@@ -81,6 +82,7 @@
         self._catalog_at: timedelta | None = None
         self._listed_at: timedelta | None = None
         self._looked_at: timedelta | None = None
+        self.giants = Giants(platform.teams)
         self.wants: list[Want] = []
         self._scarce: dict[tuple, tuple[JobSpec, timedelta]] = {}
         self._scarce_of: set[str] = set()
@@ -115,7 +117,9 @@
         cheap room at all.
         """
         spec = job.spec
-        cheap_only = spare or (self._rights.leftover(spec) and self._clock.utc() - job.submitted < PATIENCE)
+        self.giants.note([spec])
+        patience = LARGE_PATIENCE if self.giants.large(spec) and not self._rights.guest(spec) else PATIENCE
+        cheap_only = spare or (self._rights.leftover(spec) and self._clock.utc() - job.submitted < patience)
         key = spec.needs
         catalog = self.catalog
         if self._cheapest[0] is not catalog:
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -337,13 +337,25 @@
         return bool(txns) or back or more
 
     def _order(self, handed: dict[str, list]) -> list[str]:
+        """By deficit, but gangs before arrays, and before all others those whose machines the leader named.
+
+        The leader found room for all of it together.  An array that chose its
+        machines first here took those that the gang needed whole.
+        """
         jobs = [self._book.jobs[ref] for ref in handed]
-        return in_order(
+        order = in_order(
             (Waiting(j.spec.ref, weight_of(j.spec, self._operators), j.submitted, j.received) for j in jobs),
             self._clock.utc(),
             self._operators.arrival_credit,
         )
 
+        def turn(ref: str) -> int:
+            if any(h.machine is not None for _, h in handed[ref]):
+                return 0
+            return 2 if self._book.jobs[ref].spec.shape is Shape.ARRAY else 1
+
+        return sorted(order, key=turn)
+
     def _choose(
         self, job: Job, ours: list[tuple[TaskId, Handed]], views: list[View]
     ) -> tuple[list[tuple[TaskId, View, int | None]], list[tuple[TaskId, Handed]]]:
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -8,7 +8,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Iterable
-from datetime import timedelta
+from datetime import datetime, timedelta
 
 from kelpjunction.blocks import Blocks
 from kelpjunction.budget import Purpose
@@ -35,6 +35,7 @@
 MOST_AT_ONCE = 512  # tasks of one job handed over in one round
 MOST_HANDED = 48  # chunks of arrays, and of gangs, handed over in one round
 REFUSED_FOR = timedelta(seconds=2)
+AT_LIMIT = "its team is at its limit"
 MOVE_GANG_AFTER = timedelta(seconds=2)
 HAND_EVERY = timedelta(milliseconds=200)  # arrays and gangs wait that long at most; a service that comes does not
 HAND_SHARE = 0.2  # or longer, where pages of hand-overs would take more than this of the rate of changes
@@ -161,12 +162,22 @@
         views = self._views()
         usage = self._usage()
         kept = self._shares(waiting)
+        now = self._clock.utc()
+        self._fleet.giants.note(j.spec for j in waiting)
+        overdue = {j.spec.ref for j in waiting if self._presses(j, now)}
         order = in_order(
             (
-                Waiting(j.spec.ref, weight_of(j.spec, self._operators) * kept[j.spec.ref], j.submitted, j.received)
+                Waiting(
+                    j.spec.ref,
+                    weight_of(j.spec, self._operators) * kept[j.spec.ref],
+                    j.submitted,
+                    j.received,
+                    j.spec.shape is Shape.SERVICE,
+                    j.spec.ref in overdue,
+                )
                 for j in waiting
             ),
-            self._clock.utc(),
+            now,
             self._operators.arrival_credit,
         )
         hands = HandOvers()
@@ -192,7 +203,8 @@
                 left_over[len(lacking)] = _left_over(views, lacking)
             seen = left_over[len(lacking)] if guest else views
             if job.spec.shape is Shape.GANG:
-                left = self._hand_gang(job, seen, usage, hands, too_large, at_top=not topped and tries is None)
+                at_top = not topped and tries is None
+                left = self._hand_gang(job, seen, usage, hands, too_large, at_top, ref in overdue)
                 topped = topped or (left > 0 and tries is None)
             else:
                 left = self._hand_tasks(job, seen, usage, hands, full, tries)
@@ -258,7 +270,7 @@
         most = min(job.waiting_count(), MOST_AT_ONCE if tries is None else tries)
         room = usage.room(spec.team, spec.cpus, spec.gpus, most)
         if room == 0:
-            self._why(job, "its team is at its limit")
+            self._why(job, AT_LIMIT)
             return 0
         tasks: list[TaskId] = []
         needs = (self._rights.guest(spec), *spec.needs)
@@ -291,6 +303,7 @@
         hands: HandOvers,
         too_large: dict[tuple, int],
         at_top: bool,
+        overdue: bool,
     ) -> int:
         """Hand over a whole gang or nothing; returns how many tasks found no room.
 
@@ -302,7 +315,12 @@
         if job.waiting_count() < spec.tasks:
             return 0
         if usage.room(spec.team, spec.cpus, spec.gpus, spec.tasks) < spec.tasks:
-            self._why(job, "its team is at its limit")
+            never = not self._room_may_come(job)
+            self._why(job, AT_LIMIT + (", and its services leave no room for the gang" if never else ""))
+            if overdue and not never:
+                # Its team's small jobs would fill each gap in the limit as it
+                # opens: what there is of it is kept for the gang.
+                usage.add(spec.team, spec.cpus, spec.gpus, spec.tasks)
             return 0
         known = spec.tasks >= too_large.get(needs, spec.tasks + 1)
         chosen = None if known else place_gang(spec, able_for(job, views))
@@ -318,6 +336,22 @@
         hands.add(job, self._gang_rows(job, chosen))
         return 0
 
+    def _presses(self, job: Job, now: datetime) -> bool:
+        """Whether nothing but services is to be put ahead of the job, because it is large and has waited long."""
+        started = job.done_count() + job.placed_count()
+        return self._fleet.giants.pressing(job.spec, started, now - job.submitted)
+
+    def _room_may_come(self, job: Job) -> bool:
+        """Whether the gang will fit its team's limit once the team's arrays and gangs have ended.
+
+        Services go on until they are cancelled: what they leave no room for is not waited for.
+        """
+        usage, spec = Usage(self._platform.teams), job.spec
+        for other in self._book.of_team(spec.team):
+            if other.spec.shape is Shape.SERVICE:
+                usage.add(spec.team, other.spec.cpus, other.spec.gpus, sum(other.counts[1:]))
+        return usage.room(spec.team, spec.cpus, spec.gpus, spec.tasks) >= spec.tasks
+
     def _gang_rows(self, job: Job, chosen: list[View]) -> list[tuple[TaskId, Handed]]:
         """A gang in one block is placed by its holder; one that spans blocks is placed here."""
         tasks = [TaskId(job.spec.ref, i) for i in range(job.spec.tasks)]
--- a/kelpjunction/placement/__init__.py
+++ b/kelpjunction/placement/__init__.py
@@ -405,7 +405,10 @@
         lost = sum((v.loss for v in chosen), timedelta()).total_seconds()
         return lost + 3 * fetch_cost(spec, view), len(chosen), zones[view.zone], view.name, view, chosen
 
-    able = [v for v in views if allowed(spec, v.type, v.zone, v.spot) and not v.shunned and not v.kept]
+    # Services alone may go where a gang waits for the rest of its machines to come free: arrays that found
+    # no room elsewhere once filled each of them again, and the gang never began.
+    ours = (v for v in views if spec.shape is Shape.SERVICE or v.held_for in (None, spec.ref))
+    able = [v for v in ours if allowed(spec, v.type, v.zone, v.spot) and not v.shunned and not v.kept]
     heap = [entry for entry in map(score, able) if entry is not None]
     heapq.heapify(heap)
     found: list[tuple[View, list[Victim]]] = []
--- a/kelpjunction/queue/__init__.py
+++ b/kelpjunction/queue/__init__.py
@@ -14,6 +14,9 @@
 from kelpjunction.wire.messages import JobSpec, Shape
 
 SLACK = 1e-6
+# The largest jobs are to begin within four minutes (PROTOCOL's users): a quarter of that is left to the plain
+# order, the rest to what their room takes to come free or to boot.
+PRESSING_AFTER = timedelta(seconds=60)
 
 
 class Waiting(NamedTuple):
@@ -23,6 +26,8 @@
     weight: float
     submitted: datetime
     received: timedelta
+    first: bool = False  # nothing is put ahead of it: a service
+    pressing: bool = False  # a large job that has waited long, and has not begun whole
 
 
 class Claim(NamedTuple):
@@ -117,8 +122,53 @@
 
 
 def in_order(jobs: Iterable[Waiting], now: datetime, credit: timedelta) -> list[str]:
-    """Jobs by deficit, the largest first; the older, then the smaller id, where it is equal."""
-    return [j.ref for j in sorted(jobs, key=lambda j: (-deficit(j, now, credit), j.submitted, j.ref))]
+    """Jobs by deficit, the largest first; the older, then the smaller id, where it is equal.
+
+    Pressing jobs come, the oldest first, right behind the services that top
+    the order.  So the room that comes free goes to the oldest of them until it
+    has begun, and one waits no longer than until it presses, and then for
+    those that pressed before it and for its own room.
+    """
+    jobs = sorted(jobs, key=lambda j: (-deficit(j, now, credit), j.submitted, j.ref))
+    plain = [j for j in jobs if not j.pressing]
+    top = next((i for i, j in enumerate(plain) if not j.first), len(plain))
+    pressing = sorted((j for j in jobs if j.pressing), key=lambda j: (j.submitted, j.ref))
+    return [j.ref for j in (*plain[:top], *pressing, *plain[top:])]
+
+
+class Giants:
+    """Which jobs are large for their class, by the largest of it that was seen lately."""
+
+    def __init__(self, teams: dict[str, Team]) -> None:
+        self._teams = teams
+        self._largest: dict[str, float] = {}
+
+    def note(self, specs: Iterable[JobSpec]) -> None:
+        """See these jobs."""
+        for spec in specs:
+            self._largest[spec.klass] = max(self._largest.get(spec.klass, 0.0), asked(spec))
+
+    def large(self, spec: JobSpec) -> bool:
+        """Whether the job asks for more than half of what the largest of its class does."""
+        return 2 * asked(spec) > self._largest.get(spec.klass, 0.0)
+
+    def pressing(self, spec: JobSpec, started: int, waited: timedelta) -> bool:
+        """Whether it has waited long, is large, and runs fewer tasks than its team may run of it at once.
+
+        A guest only uses what others leave, and nothing is put ahead of anybody for it.
+        """
+        team = self._teams.get(spec.team)
+        if team is None or team.guest or spec.shape is Shape.SERVICE or waited < PRESSING_AFTER:
+            return False
+        whole = spec.tasks
+        if spec.shape is Shape.ARRAY:
+            whole = Usage(self._teams).room(spec.team, spec.cpus, spec.gpus, spec.tasks)
+        return started < whole and self.large(spec)
+
+
+def asked(spec: JobSpec) -> float:
+    """What a job asks for in all: accelerators where its tasks take any, else CPUs."""
+    return (spec.gpus or spec.cpus) * spec.tasks
 
 
 @dataclass(slots=True)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -7,7 +7,7 @@
 from kelpjunction.clock import ZERO
 from kelpjunction.fleet.demand import Offer, Want, to_rent
 from kelpjunction.placement import Budget, Victim, View, make_room, place, place_gang
-from kelpjunction.queue import Claim, Rights, Usage, Waiting, in_order, over_limit, shares
+from kelpjunction.queue import Claim, Giants, Rights, Usage, Waiting, in_order, over_limit, shares
 from kelpjunction.settings import Team
 from kelpjunction.wire.messages import MachineType
 from kelpjunction.wire.users import parse_job
@@ -168,3 +168,29 @@
     views[2].take(job(cpus=1.0, bundle="other"))
     plain = job(shape="service", urgency="prod", cpus=1.0)
     assert [v.name for v in place(plain, 1, views[2:], Counter(), Counter())] == ["n-4"]
+
+
+def test_large_jobs_that_waited_long_come_behind_services_and_before_all_others_the_oldest_first():
+    def at(s):
+        return NOW - timedelta(seconds=s)
+
+    jobs = [
+        Waiting("j-service", 100, at(1), ZERO, first=True),
+        Waiting("j-array", 10, at(40), ZERO),
+        Waiting("j-giant", 10, at(90), timedelta(hours=2), pressing=True),
+        Waiting("j-gang", 1, at(200), ZERO, pressing=True),
+        Waiting("j-old-service", 0.1, at(9), ZERO, first=True),
+    ]
+    assert in_order(jobs, NOW, timedelta(seconds=30)) == ["j-service", "j-gang", "j-giant", "j-array", "j-old-service"]
+
+
+def test_a_job_presses_while_it_is_large_for_its_class_and_has_not_begun_whole():
+    giants = Giants({"red": Team("red", 4, 0, 100, None), "guest": Team("guest", 0, 0, None, None)})
+    large, small = job(fronds=90), job("j-2", fronds=30)
+    giants.note([large, small])
+    late, soon = timedelta(seconds=61), timedelta(seconds=59)
+    assert giants.pressing(large, 10, late)
+    assert not giants.pressing(large, 10, soon)
+    assert not giants.pressing(small, 10, late)
+    assert not giants.pressing(large, 50, late), "100 CPUs are all that its team may use"
+    assert not giants.pressing(replace(large, team="guest"), 0, late)
--- /dev/null
+++ b/tests/test_giants.py
@@ -0,0 +1,88 @@
+"""The largest jobs begin within four minutes of their submission wherever room for them exists."""
+
+from collections.abc import Callable
+
+import pytest
+from traces import served
+
+from kelpjunction.lab.attendance import LARGEST_WITHIN
+
+GANG = {"shape": "ensemble", "mark_s": 5.0, "stow_s": 1.0, "run_s": 20.0, "stripe": "gang"}
+
+
+def beside_a_stream(world, length: float, when: dict[float, Callable[[], None]] | None = None, **fields) -> None:
+    """Let time pass while a small array comes every other second, more than the machines carry."""
+    for number in range(int(length / 2)):
+        ref = f"j-9{len(world.jobs):04d}"
+        world.submit(ref, 4, **({"run_s": 8.0, "cpus": 2.0, "stripe": "small"} | fields))
+        if act := (when or {}).get(2 * number):
+            act()
+        world.run(2)
+
+
+def late(world) -> list[str]:
+    """Large jobs that began too late, or not yet though it is too late."""
+    return [ref for row in world.attendance.served(world.clock.now) for ref in row.late if not ref.startswith("j-9")]
+
+
+@pytest.mark.parametrize("team", ["red", "blue"])
+def test_giant_gang_begins_beside_a_swarm_that_fills_its_teams_limit_and_the_machines(team):
+    """Of red's limit of 40 CPUs the small jobs took each gap as it opened: 32 at once never came together."""
+    world = served(machines=9, capacity=9)
+    beside_a_stream(world, 20, crew=team)
+    world.submit("j-1", 8, cpus=4.0, crew=team, **GANG)
+    beside_a_stream(world, 300, crew=team)
+    assert late(world) == []
+    assert world.broken == []
+
+
+def test_giant_array_begins_whole_beside_a_stream_of_arrays():
+    """What it receives counts against it: its last tasks stood behind each array that came."""
+    world = served(machines=3, capacity=3)
+    beside_a_stream(world, 20)
+    world.submit("j-1", 60, cpus=2.0, crew="blue", run_s=20.0, urgency="low", stripe="large")
+    beside_a_stream(world, 300)
+    assert late(world) == []
+    assert world.broken == []
+
+
+def test_two_giants_that_wait_for_each_others_room():
+    world = served(machines=6, capacity=6)
+    beside_a_stream(world, 10)
+    for ref in ("j-1", "j-2"):
+        world.submit(ref, 6, cpus=6.0, crew="blue", **GANG)
+    beside_a_stream(world, 280)
+    assert late(world) == []
+    assert world.broken == []
+
+
+@pytest.mark.parametrize("what", ["leader", "zone"])
+def test_giant_that_loses_its_leader_or_its_zone_while_it_collects(what):
+    world = served(machines=9, capacity=12)
+
+    def lose() -> None:
+        if what == "zone":
+            world.lose("a")
+        else:
+            name = world.leader_name()
+            world.kill_node(name)
+            world.later(5.0, lambda: world.start_node(name))
+
+    beside_a_stream(world, 10, crew="blue")
+    world.submit("j-1", 3, cpus=7.0, crew="blue", together=True, **GANG)
+    beside_a_stream(world, 290, when={4: lose, 66: lose}, crew="blue")
+    assert late(world) == []
+    assert world.broken == []
+
+
+def test_giant_whose_teams_limit_services_use_up_is_told_so_and_holds_nothing():
+    world = served(machines=9, capacity=9)
+    world.submit("j-1", 6, cpus=4.0, shape="service", urgency="prod")
+    world.run(5)
+    world.submit("j-2", 5, cpus=4.0, **GANG)
+    world.run(70)
+    world.submit("j-3", 4, cpus=2.0, run_s=5.0, stripe="small")
+    assert world.run(15, lambda: world.poll("j-3") == "done")
+    job = world.leader().book.jobs["j-2"]
+    assert job.why_waiting == "its team is at its limit, and its services leave no room for the gang"
+    assert LARGEST_WITHIN.total_seconds() == 240
