Lone nodes: a holder learns from its workers that it was overtaken; back at once leads at once

Cause: two nodes out of touch sent each other's workers to and fro until their leases ended (421 naming each other, 503); a lone holder sent its workers away one by one, each after its own sign; a leader that was back in a fraction of a second waited for the hold of its process before; a node that ended again and again was given a block each time it came. Change: who is out of touch names nobody in a 421; a higher token in one report shows that the whole block is another's; a new holder shows three workers its token at once; a lead under one's own name is taken over under a new term; a node that ended several times within a minute is given blocks later and later.

--- a/kelpjunction/blocks/__init__.py
+++ b/kelpjunction/blocks/__init__.py
@@ -30,6 +30,10 @@
 BLOCK_PREFIX = "l/block/"
 
 
+STEADY_AFTER = timedelta(seconds=60)  # a node that ended more often than that is not relied on at once
+LONGEST_TRIAL = timedelta(seconds=30)
+
+
 def block_key(zone: str) -> str:
     return BLOCK_PREFIX + zone
 
@@ -47,6 +51,19 @@
     since: timedelta  # when this node first saw this holder have it
 
 
+@dataclass(slots=True)
+class _Coming:
+    """When a node's process was first seen, and how many of its kind ended shortly before."""
+
+    incarnation: str
+    at: timedelta
+    restarts: int = 0
+
+    def steady(self, now: timedelta) -> bool:
+        """Whether it may be given blocks: at once after a restart, later and later after several."""
+        return not self.restarts or now - self.at >= min(LONGEST_TRIAL, timedelta(seconds=2**self.restarts))
+
+
 class Blocks:
     """All grants, as the state service has them."""
 
@@ -56,6 +73,7 @@
         self._mirror = mirror
         self._clock = clock
         self.grants: dict[str, Grant] = {}
+        self._comings: dict[str, _Coming] = {}  # as the leader saw the nodes come
         self.on_gain: Callable[[str], None] = lambda zone: None
         self.on_loss: Callable[[str], None] = lambda zone: None
         mirror.listen(BLOCK_PREFIX, self._changed)
@@ -111,6 +129,7 @@
         all are so: it would let the leases of its workers run out.
         """
         members = {n: m for n, m in members.items() if not m.get("deaf")} or members
+        members = self._steady(members) or members
         load = Counter(dict.fromkeys(members, 0))
         lacking = []
         for zone in zones:
@@ -139,6 +158,16 @@
                 for zone, name in some.items():
                     log.info("block %s granted to %s under token %d", zone, name, self.grants[zone].token)
 
+    def _steady(self, members: dict[str, dict]) -> dict[str, dict]:
+        """The nodes without those that end again and again: each block given to one stood without a holder."""
+        now = self._clock.steady()
+        for name, member in members.items():
+            last = self._comings.get(name)
+            if last is None or last.incarnation != member["incarnation"]:
+                soon = last is not None and now - last.at < STEADY_AFTER
+                self._comings[name] = _Coming(member["incarnation"], now, last.restarts + 1 if soon else 0)
+        return {n: m for n, m in members.items() if self._comings[n].steady(now)}
+
     def _best(self, zone: str, members: dict[str, dict], load: Counter) -> str:
         """The live node for a block: one in its zone if that has no more than its share, else the least loaded."""
         least = min(load[n] for n in members)
--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -183,7 +183,10 @@
             return 503, b"{}"  # held up in a cut: there is no such machine any more
         holder = self.blocks.holder(report.zone)
         if self.blocks.mine(report.zone) is None:
-            return 421, workers.redirect_answer(None if holder == self.platform.node else holder)
+            # Who is out of touch names nobody: two such nodes once sent the
+            # workers of both to and fro until their leases ended.
+            known = holder != self.platform.node and self.intake.fresh
+            return 421, workers.redirect_answer(holder if known else None)
         if not self.intake.fresh and self.intake.siblings_fresh:
             # This node alone is out of touch, so its blocks will be or are
             # another's: the worker should look for that one at once.
--- a/kelpjunction/fleet/watch.py
+++ b/kelpjunction/fleet/watch.py
@@ -78,9 +78,22 @@
         """The block became ours: ask its machines at once, its workers may take a while to find us."""
         for machine in [name for name in self._book.loads if self._inventory.gone(name)]:
             self._roster.settle_machine(machine)  # returned while nobody held the block
-        for machine in self._inventory.machines.values():
-            if machine.zone == zone and machine.address and machine.state is not MachineState.RETURNING:
-                self._spawn(self._roster.visit, machine.address)
+        there = [m for m in self._inventory.machines.values() if m.zone == zone and m.address]
+        there = [m for m in there if m.state is not MachineState.RETURNING]
+        for machine in there:
+            self._spawn(self._roster.visit, machine.address)
+        self._spawn(self._hail, there)
+
+    def _hail(self, machines: list[Machine]) -> None:
+        """Show some of a new block's workers our token.
+
+        Whoever held the block may have lost the state service and the other
+        nodes, but not these workers: they go on reporting to it, and it finds
+        out from them.
+        """
+        for machine in self._random.sample(machines, min(PROBED, len(machines))):
+            if self._roster.visit(machine.address):
+                self._roster.hail(machine.name)
 
     def mine(self) -> list[Machine]:
         zones = set(self._blocks.my_zones())
--- a/kelpjunction/leadership/__init__.py
+++ b/kelpjunction/leadership/__init__.py
@@ -119,7 +119,7 @@
                 told = self._mirror.get(self._member_prefix + self._node)
                 if self.standing is not Standing.OUTSIDE and (told is None or told.value != self._member):
                     self._tell(self._hold)
-            if self.standing is Standing.FOLLOWER and self._mirror.get(self._lead_key) is None:
+            if self.standing is Standing.FOLLOWER and self._vacant():
                 self._run_for_leader()
             return True
         except StoreDown as error:
@@ -155,12 +155,23 @@
         """Who this node is, and whether it reaches no machine."""
         return self._identity | ({"deaf": True} if self.is_deaf() else {})
 
+    def _vacant(self) -> bool:
+        """Whether nobody leads, as far as this node knows.
+
+        Two processes never run under one name at once: a lead under this
+        node's name that it does not have is that of a process that ended, or a
+        candidacy of its own whose outcome it did not hear.  Whoever is back in a
+        fraction of a second need not wait for that hold to end.
+        """
+        lead = self._mirror.get(self._lead_key)
+        return lead is None or lead.value["node"] == self._node
+
     def _run_for_leader(self) -> None:
         entry = self._mirror.get(self._term_key)
         term = (entry.value if entry else 0) + 1
         lead = {"node": self._node, "term": term}
         outcome = self._store.commit(
-            {self._lead_key: 0, self._term_key: entry.version if entry else 0},
+            {self._lead_key: self._mirror.version(self._lead_key), self._term_key: entry.version if entry else 0},
             {self._lead_key: lead, self._term_key: term},
             holds={self._lead_key: self._hold},
             purpose=Purpose.HOLD,
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -76,6 +76,10 @@
         self.starts = self.stops = 0  # sent straight to workers since this process began
         self.settled: Counter[Cause] = Counter()
         self.bump_zones: set[str] = set()
+        # Blocks of which a worker has seen a higher token than the one here:
+        # they are another's, though no news of it has come in.  All their
+        # workers are sent away, so that they find that one in time.
+        self._overtaken: dict[str, int] = {}
         self._asking: set[str] = set()  # addresses whose workers are being asked how they stand
         self.on_seen: Callable[[Report], None] = lambda report: None
         self.images_of: Callable[[str], list[str]] = lambda machine: []
@@ -92,7 +96,9 @@
     def check_in(self, report: Report) -> tuple[int, bytes]:
         """Answer a worker's report: status and body."""
         token = self._blocks.token(report.zone)
-        if not self._leadership.in_touch() or token is None or report.token > token:
+        if token is not None and report.token > token:
+            self._overtaken[report.zone] = token
+        if not self._leadership.in_touch() or token is None or self._overtaken.get(report.zone) == token:
             return 503, b"{}"
         now = self._clock.steady()
         number = (report.session, report.sequence)
@@ -281,7 +287,7 @@
         for machine, group in by_machine.items():
             worker = self.workers.get(machine)
             token = self._blocks.token(worker.zone) if worker else None
-            if token is None or not self._leadership.in_touch():
+            if token is None or self._overtaken.get(worker.zone) == token or not self._leadership.in_touch():
                 continue
             now = self._clock.steady()
             for placement in group:
@@ -307,6 +313,13 @@
         body = wire.commands_body(token, session, commands)
         return self._request(worker.address, "POST", wire.COMMANDS_PATH, body, DIRECT_TIMEOUT)
 
+    def hail(self, machine: str) -> None:
+        """Show a worker this node's token: whoever had its block before learns of it from its reports."""
+        worker = self.workers.get(machine)
+        token = self._blocks.token(worker.zone) if worker else None
+        if token is not None and worker.token < token:
+            self._post(worker, token, worker.session, [])
+
     def visit(self, address: str) -> bool:
         """Ask a worker how it stands, without waiting for its report.
 
--- /dev/null
+++ b/tests/test_lone.py
@@ -0,0 +1,142 @@
+"""A node that is cut off from the state service and its siblings, and processes that are back at once."""
+
+import pytest
+from traces import served
+
+from kelpjunction.clock import seconds
+
+
+def alone(world, *names) -> None:
+    world.cut_from_store, world.cut_from_peers = set(names), set(names)
+
+
+def sessions(world) -> dict[str, int]:
+    return {name: worker.session for name, (worker, _) in world.cloud.machines.items()}
+
+
+@pytest.mark.parametrize("who", ["a holder", "the leader", "two of three", "one while another is rolled"])
+def test_lone_node_loses_no_lease_and_its_blocks_go_on_elsewhere(who):
+    world = served(machines=9, capacity=9)
+    world.submit("j-1", 6, shape="service", urgency="prod")
+    world.submit("j-2", 6, run_s=25.0)
+    assert world.run(10, lambda: len(world.running()) == 12)
+    leader = world.leader_name()
+    others = [n for n in world.node_names if n != leader]
+    cut = {"the leader": [leader], "two of three": others}.get(who, others[:1])
+    before = sessions(world)
+    alone(world, *cut)
+    if who == "one while another is rolled":
+        world.run(3)
+        world.kill_node(others[1])
+        world.later(4.0, lambda: world.start_node(others[1]))
+    free = [n for n in world.node_names if n not in cut]
+    assert world.run(12, lambda: {g.holder for n in free if world.nodes[n] for g in held(world, n)} <= set(free))
+    world.run(6)
+    assert world.submit("j-3", 3, run_s=5.0, node=free[0]) == 201
+    world.run(20)
+    alone(world)
+    world.run(20)
+    assert sessions(world) == before, "no lease ended"
+    assert len(world.running("j-1")) == 6
+    assert [world.poll("j-2"), world.poll("j-3")] == ["done", "done"]
+    assert world.broken == []
+
+
+def held(world, name):
+    return world.nodes[name].blocks.grants.values()
+
+
+def test_lone_holder_sends_all_workers_of_a_block_away_once_one_has_seen_a_higher_token():
+    """Each of them waited for its own sign before: a command of the new holder to it."""
+    world = served(machines=9, capacity=9)
+    name = next(n for n in world.node_names if n != world.leader_name())
+    zone = world.nodes[name].blocks.my_zones()[0]
+    alone(world, name)
+    new = {n for n in world.node_names if n != name}
+    assert world.run(10, lambda: all(world.nodes[n].blocks.holder(zone) in new for n in new))
+    theirs = [w for w, _ in world.cloud.machines.values() if w.zone == zone]
+    assert world.run(4, lambda: all(f"holdfast-{w.node}" in new for w in theirs)), "long before the grace has passed"
+    assert world.nodes[name].leadership.in_touch()
+
+
+def test_users_of_a_lone_node_are_told_at_once_to_come_back():
+    world = served()
+    world.submit("j-1", run_s=60.0)
+    name = next(n for n in world.node_names if n != world.leader_name())
+    alone(world, name)
+    world.run(5)
+    asked = world.clock.now
+    assert world.submit("j-2", node=name) == 503
+    assert world.poll("j-1", node=name) is None
+    assert world.clock.now == asked
+
+
+def test_everybodys_outage_ends_no_lease_before_the_grace_has_passed():
+    world = served(machines=9, capacity=9)
+    world.submit("j-1", 6, shape="service", urgency="prod")
+    assert world.run(10, lambda: len(world.running()) == 6)
+    before = sessions(world)
+    world.store.outage(True)
+    world.cut_from_peers = set(world.node_names)  # nobody can tell whether it is alone
+    world.run(18)
+    world.store.outage(False)
+    world.cut_from_peers = set()
+    world.run(20)
+    assert sessions(world) == before
+    assert world.broken == []
+
+
+# Back in a fraction of a second
+
+
+@pytest.mark.parametrize("after", [0.0, 0.3, 0.9])
+def test_leader_that_is_back_at_once_leads_again_before_its_old_hold_ends(after):
+    world = served()
+    name = world.leader_name()
+    for other in world.node_names:
+        if other != name:
+            world.kill_node(other)
+    world.run(4)
+    world.kill_node(name)
+    world.run(after)
+    world.start_node(name)
+    began = world.clock.now
+    assert world.run(1.5, lambda: world.leader_name() == name), "it waited for the hold of the process before it"
+    assert world.clock.now - began < seconds(1.5)
+    world.submit("j-1", run_s=3.0)
+    assert world.run(20, lambda: world.poll("j-1") == "done")
+    assert world.broken == []
+
+
+def test_late_commit_of_the_process_before_changes_nothing():
+    world = served()
+    name = world.leader_name()
+    world.held_for = (3.0, 3.0)
+    world.filter = lambda source, target, path: "held" if source == name and path == "/commit" else None
+    world.submit("j-1", run_s=5.0, node=next(n for n in world.node_names if n != name))
+    world.run(0.6)
+    assert world.late, "something of the old process is under way"
+    world.kill_node(name)
+    world.filter = lambda *_: None
+    world.start_node(name)
+    world.run(10)
+    assert world.run(30, lambda: world.poll("j-1") == "done")
+    assert world.broken == []
+
+
+def test_node_that_ends_again_and_again_does_not_hold_the_others_up():
+    world = served(machines=9, capacity=9)
+    name = next(n for n in world.node_names if n != world.leader_name())
+    longest = seconds(0)
+    for number in range(33):  # for 20 s
+        world.kill_node(name)
+        world.run(0.3)
+        world.start_node(name)
+        world.run(0.3)
+        if number % 8 == 4:
+            ref, asked = f"j-{number}", world.clock.now
+            world.submit(ref, 3, run_s=60.0, cpus=1.0, node=world.leader_name())
+            assert world.run(10, lambda ref=ref: len(world.running(ref)) == 3)
+            longest = max(longest, world.clock.now - asked)
+    assert longest <= seconds(1), "its block lay with it in turn, and waited for its holds to end"
+    assert world.broken == []
