Contact: only an answer settles by absence; the next number may be a copy's too

Change: a report with the next number shows that its worker is reached still, and no more; what a report lacks is asked about, and the answer settles.

--- a/kelpjunction/workers/contact.py
+++ b/kelpjunction/workers/contact.py
@@ -2,9 +2,9 @@
 
 A report proves that its worker lived when it was sent, not that it lives now, nor that anything
 reaches it: reports come late, and come again as copies, and a machine may lose all that is sent to
-it while its reports arrive.  What proves both is a round trip: an answer to a request of ours, or a
-report whose number follows on the one we answered (a worker without an answer goes to another node,
-so the next number is spent there).
+it while its reports arrive.  What proves both is a round trip: an answer to a request of ours.  That
+it is reached still is also shown by a report whose number follows on the one we answered: a worker
+without an answer goes to another node, so the next number is spent there.
 """
 
 from dataclasses import dataclass
@@ -32,8 +32,8 @@
     """What a message is worth."""
 
     OLD = "old"  # not newer than what is known: nothing of it counts
-    CLAIM = "claim"  # newer, but perhaps itself a copy from the past
-    PROOF = "proof"  # of a worker that lives and is reached
+    CLAIM = "claim"  # newer, but perhaps itself a copy from the past: what it lacks may be there all the same
+    PROOF = "proof"  # how things stand now
 
 
 @dataclass(slots=True)
@@ -59,10 +59,9 @@
         # Directly behind a message that we answered, or that answered us.
         follows = self.newest == (number[0], number[1] - 1) and self.reach is Reach.REACHED
         self.newest, self.newest_at = number, now
-        if not follows:
-            return Word.CLAIM
-        self._prove(now)
-        return Word.PROOF
+        if follows:
+            self._prove(now)
+        return Word.CLAIM
 
     def replied(self, number: Number, asked: Number, now: timedelta) -> tuple[Word, bool]:
         """An answer to a request of ours came; `asked` is what was the newest when that was sent.
@@ -101,6 +100,10 @@
         if reach is not self.reach:
             self.reach, self.proofs = reach, 0
 
+    def wants_asking(self, now: timedelta) -> bool:
+        """Whether nothing shows at this moment that it is reached."""
+        return self.proved_at != now
+
     @property
     def lost(self) -> bool:
         """Whether nothing reaches it: who has answered once is not given up again at once."""
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -104,8 +104,8 @@
         number = (report.session, report.sequence)
         worker = self._worker(report)
         word = worker.contact.heard(number, now)
-        self._take(worker, report, word, now)
-        if word is not Word.PROOF and worker.contact.may_wait(number, now):
+        doubted = self._take(worker, report, word, now)
+        if (doubted or worker.contact.wants_asking(now)) and worker.contact.may_wait(number, now):
             self._spawn(self.visit, worker.address)
         if worker.contact.lost or not worker.contact.may_wait(number, now):
             # Each 200 may renew its lease, so none is said to a machine that can't be told to stop
@@ -130,11 +130,15 @@
             self._changes.note(report.machine)
         return worker
 
-    def _take(self, worker: Worker, report: Report, word: Word, now: timedelta) -> None:
-        """Take in a message for what it is worth."""
+    def _take(self, worker: Worker, report: Report, word: Word, now: timedelta) -> bool:
+        """Take in a message for what it is worth; whether the worker should be asked about what it said.
+
+        What a claim lacks settles nothing: a copy from before its process was
+        started again may name a higher session, or the very next number.
+        """
         new_session = report.session != worker.session
         if word is Word.OLD or (word is Word.CLAIM and worker.session and new_session):
-            return  # a copy from before its process was started again may name a higher session: it is asked
+            return word is Word.CLAIM
         worker.session = report.session
         ours = self._blocks.token(worker.zone) or 0
         if new_session or worker.token < ours <= report.token:
@@ -156,8 +160,9 @@
             if self._is_here(placement, worker, told.attempt):
                 listed.add(placement)
                 self._hear(worker, placement, told, now)
+        here = self._book.on(worker.machine).values()
         if word is Word.PROOF:
-            for placement in list(self._book.on(worker.machine).values()):
+            for placement in list(here):
                 if placement.session < worker.session:
                     # The worker killed everything of that session when it ended.
                     self.settle(placement, Cause.LOST, now)
@@ -167,6 +172,7 @@
                     self._hear_nothing(worker, placement, now)
         if new_session:
             self._wake()
+        return word is Word.CLAIM and any(p not in listed and (p.seen or not p.live) for p in here)
 
     def _hear_of_another_life(self, worker: Worker, placement: Placement, now: timedelta) -> None:
         """The worker proved a lower session than the placement's: its process was started again meanwhile.
