--- a/kelpjunction/store/mirror.py
+++ b/kelpjunction/store/mirror.py
@@ -21,6 +21,7 @@
 
 FOLLOW_WAIT = timedelta(seconds=2)
 STALE_AFTER = timedelta(seconds=4)
+REREAD_EVERY = timedelta(seconds=60)
 LIVE = "l/"
 
 
@@ -37,6 +38,7 @@
         self._listeners: list[tuple[str, Callable[[str, Any, int], None]]] = []
         self.revision: int | None = None
         self.fresh_at: timedelta | None = None
+        self._read_at: timedelta | None = None  # when everything was read last
         self.on_others: Callable[[int], None] = lambda changes: None  # told how many changes others had applied
 
     @property
@@ -68,21 +70,27 @@
         asked_at = self._clock.steady()
         entries, revision = self._store.scan(self._prefix)
         present = {e.key for e in entries}
+        unlike = 0  # what was not known as it is, though its news should have come
         for key in [k for k in self._entries if k not in present]:
             if self._entries[key].version <= revision:
-                self.put(key, None, revision)
+                unlike += self.put(key, None, revision)
         for entry in entries:
-            self.put(*entry)
-        self.revision, self.fresh_at = revision, asked_at
+            unlike += self.put(*entry) and self.revision is not None and entry.version <= self.revision
+        self.revision, self.fresh_at, self._read_at = revision, asked_at, asked_at
         self._deleted = {k: v for k, v in self._deleted.items() if v > revision}
-        log.info("keys below %s read: %d at revision %d", self._prefix, len(entries), revision)
+        log.info(
+            "keys below %s read: %d at revision %d, %d not as followed", self._prefix, len(entries), revision, unlike
+        )
 
     def follow_once(self) -> None:
-        """Wait for the next changes and put them in."""
-        if self.revision is None:
+        """Wait for the next changes and put them in; now and then compare with all that is kept.
+
+        A job that no news told of would be known to no queue, and never run.
+        """
+        asked_at = self._clock.steady()
+        if self.revision is None or asked_at - self._read_at >= REREAD_EVERY:
             self.load()
             return
-        asked_at = self._clock.steady()
         got = self._store.follow(self._prefix, self.revision, FOLLOW_WAIT, self._transport)
         if got is None:
             self.load()
@@ -152,11 +160,15 @@
     def holds(self, guards: dict[str, int], timeout: timedelta = timedelta(seconds=1.5)) -> bool:
         """Whether each key has the given version; raises `StoreDown` if that can't be told."""
         answer: AsyncResult = AsyncResult()
-        self._asked.append((guards, answer))
+        asked = (guards, answer)
+        self._asked.append(asked)
         if not self._busy:
             self._busy = True
             self._spawn(self._drain)
         answer.wait(timeout.total_seconds())
+        # Nobody waits for it any more.  Where more was asked than could be
+        # compared, these were answered first, and all others too late.
+        self._asked = [a for a in self._asked if a is not asked]
         result = answer.value
         if result is None:
             raise StoreDown("versions could not be compared")
--- /dev/null
+++ b/tests/test_forgotten.py
@@ -0,0 +1,102 @@
+"""No accepted job is forgotten: it stays known, questions about it are answered, and it runs."""
+
+import pytest
+from test_budget import limits
+from traces import served
+
+from kelpjunction.clock import ZERO, seconds
+from kelpjunction.jobs.book import JOB_PREFIX
+from kelpjunction.store.client import StoreDown
+from kelpjunction.store.mirror import Verifier
+
+
+def everybody_asks(world, refs: list[str], length: float) -> None:
+    """Users poll each job every 5 s, none at the same moment as the others."""
+    for step in range(int(length * 10)):
+        world.run(0.1)
+        for number, ref in enumerate(refs):
+            if (step + number) % 50 == 0 and world.told.get(ref) == "accepted":
+                world.poll(ref)
+
+
+@pytest.mark.parametrize("changes", [5, 15, 30, 250])
+@pytest.mark.parametrize("trouble", ["outage", "roll", "loss of all nodes"])
+def test_every_question_is_answered_once_troubles_are_over(changes, trouble):
+    world = served(machines=9, capacity=12, store=limits(changes))
+    refs = [f"j-{n}" for n in range(30)]
+    for ref in refs:
+        for _ in range(20):
+            if world.submit(ref, 2, run_s=30.0, cpus=1.0, crew="blue") in (200, 201):
+                break
+            world.run(1)
+    if trouble == "outage":
+        world.fault("outage", "", 12.0)
+        everybody_asks(world, refs, 12)
+    elif trouble == "roll":
+        for name in world.node_names:
+            world.fault("kill", name, 3.0)
+            everybody_asks(world, refs, 8)
+    else:
+        world.fault("kill", "all", 6.0)
+        everybody_asks(world, refs, 6.5)
+    world.attendance.troubles_over(world.clock.now)
+    everybody_asks(world, refs, 80)
+    assert world.attendance.forgotten == {}
+    assert world.attendance.longest <= seconds(10)
+    everybody_asks(world, refs, 150 if changes < 15 else 20)
+    assert [ref for ref in refs if world.told[ref] != "done"] == []
+    assert world.broken == []
+
+
+def test_job_whose_acceptance_nobody_heard_of_runs_and_is_known():
+    """The commit was carried out, the answer lost, and the node died: the user's repeat finds it."""
+    world = served()
+    name = world.node_names[1]
+    world.filter = lambda source, target, path: "answer lost" if (source, path) == (name, "/commit") else None
+    assert world.submit("j-1", run_s=3.0, node=name) == 503
+    world.filter = lambda *_: None
+    world.kill_node(name)
+    assert world.run(20, lambda: any(f == "j-1/0" for f in world.starts)), "it runs though nobody asked again"
+    assert world.submit("j-1", run_s=3.0) == 200
+    assert world.run(20, lambda: world.poll("j-1") == "done")
+
+
+def test_job_that_a_nodes_copy_lacks_is_found_when_it_is_asked_about():
+    world = served()
+    world.submit("j-1", run_s=60.0)
+    node = world.nodes[world.node_names[1]]
+    node.mirror._entries.pop(JOB_PREFIX + "j-1")
+    node.mirror._deleted.clear()
+    assert world.poll("j-1", node=node.platform.node) in ("pending", "running")
+
+
+def test_job_that_no_news_told_of_is_found_and_runs():
+    world = served()
+    for node in world.nodes.values():
+        put = node.mirror.put
+
+        def deaf(key, value, version, put=put):
+            return key != JOB_PREFIX + "j-1" and put(key, value, version)
+
+        node.mirror.put = deaf
+    world.submit("j-1", run_s=3.0)
+    world.run(1)
+    for node in world.nodes.values():
+        del node.mirror.put
+    world.run(5)
+    assert world.starts == []
+    assert world.run(70, lambda: world.starts == ["j-1/0"])
+
+
+def test_questions_that_nobody_waits_for_any_more_take_no_one_elses_turn():
+    """Where more was asked than can be compared, old questions were answered first and all came too late."""
+    served_world = served()
+    waiting = []
+    store = next(iter(served_world.nodes.values())).store
+    verifier = Verifier(store, waiting.append, lambda duration: None, 10.0)
+    for n in range(500):
+        with pytest.raises(StoreDown):
+            verifier.holds({f"l/job/j-{n}": 0}, timeout=ZERO)
+    sent = store.requests
+    waiting.pop()()
+    assert store.requests == sent, "nothing is left to be compared"
