Contact: a copy is known by what came after its number, though its worker reports on

Cause: with a worker that reports every two seconds the newest message is never old, so a copy of any age got its 200 and moved the lease reckoned.

--- a/kelpjunction/workers/contact.py
+++ b/kelpjunction/workers/contact.py
@@ -7,11 +7,12 @@
 without an answer goes to another node, so the next number is spent there.
 """
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 
-from kelpjunction.clock import ZERO, seconds
+from kelpjunction.clock import seconds
 
 PATIENCE = seconds(4.5)  # a worker drops what answers a report after 4 s
 DEAF_AFTER = 2  # requests in turn without an answer, and no other proof between them
@@ -43,7 +44,8 @@
     report: timedelta  # how often workers report
     reach: Reach = Reach.UNASKED
     newest: Number = (0, 0)
-    newest_at: timedelta = ZERO  # when that message came
+    # The messages of the last moments, and one before: by number, when they came.
+    lately: deque[tuple[Number, timedelta]] = field(default_factory=deque)
     proved_at: timedelta | None = None  # the last round trip
     failures: int = 0  # requests in turn without an answer
     proofs: int = 0  # since it was deaf
@@ -58,7 +60,7 @@
             return Word.OLD
         # Directly behind a message that we answered, or that answered us.
         follows = self.newest == (number[0], number[1] - 1) and self.reach is Reach.REACHED
-        self.newest, self.newest_at = number, now
+        self._note(number, now)
         if follows:
             self._prove(now)
         return Word.CLAIM
@@ -75,7 +77,9 @@
             self._prove(now)
             return Word.OLD, False
         self.restarted = self.restarted or began_anew
-        self.newest, self.newest_at = number, now
+        if began_anew:
+            self.lately.clear()
+        self._note(number, now)
         self._prove(now)
         return Word.PROOF, began_anew
 
@@ -112,6 +116,18 @@
     def may_wait(self, number: Number, now: timedelta) -> bool:
         """Whether the sender of this report may still wait for its answer, which would then renew its lease.
 
-        Not if we knew a later message for longer than a worker waits: it has given this one up.
+        Not if a later message was known before that: it has given this one up.
         """
-        return number >= self.newest or now - self.newest_at < PATIENCE
+        self._drop_old(now)
+        then, at = self.lately[0] if self.lately else (number, now)
+        return number >= then or now - at < PATIENCE
+
+    def _note(self, number: Number, now: timedelta) -> None:
+        self.newest = number
+        self.lately.append((number, now))
+        self._drop_old(now)
+
+    def _drop_old(self, now: timedelta) -> None:
+        """Keep the latest message that is older than anybody waits, and those behind it."""
+        while len(self.lately) > 1 and now - self.lately[1][1] >= PATIENCE:
+            self.lately.popleft()
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -7,6 +7,7 @@
 from kelpjunction.clock import seconds
 from kelpjunction.fleet.machines import MachineState
 from kelpjunction.lab.standins import OneWay
+from kelpjunction.wire.messages import TaskId
 from kelpjunction.workers.contact import Contact, Reach, Word
 
 
@@ -196,3 +197,97 @@
     assert world.run(20, lambda: holder.inventory.machines[worker.name].state is MachineState.RETURNING)
     assert holder.roster.deaf() == 1
     assert f"worker {worker.name} is not reached: what is sent to it gets no answer" in caplog.messages
+
+
+# Each of these stands for a guard that was taken out once, and that nothing else noticed
+
+
+def lost_machine(world):
+    """A machine that hears nothing, with a task, while nobody returns it; and its holder's worker."""
+    world.submit("j-1", run_s=100.0)
+    assert world.run(10, lambda: world.running("j-1") != [])
+    worker = worker_of(world, "j-1/0")
+    holder = holder_of(world, worker)
+    holder.watch._looks_cut = lambda zone: True
+    worker.one_way = OneWay.DEAF
+    known = holder.roster.workers[worker.name]
+    assert world.run(20, lambda: known.contact.lost)
+    return worker, holder, known
+
+
+def test_machine_that_hears_nothing_is_told_no_200_and_its_lease_ends_though_its_reports_go_on():
+    world = served(machines=3, capacity=3)
+    worker, holder, known = lost_machine(world)
+    worker.step = lambda: None  # its reports are this trace's from here on
+    answered = known.answered_at
+    ended = answered + world.times.lease * 1.001 + seconds(1)
+    while world.clock.now < ended - seconds(1):
+        world.run(0.9)
+        assert holder.check_in(copy_of(worker))[0] == 503
+        assert holder.book.jobs["j-1"].placed_count() == 1, "its lease may not have ended"
+    assert known.answered_at == answered
+    assert world.run(3, lambda: world.clock.now > ended and holder.book.placement(TaskId("j-1", 0)) is None)
+
+
+def test_copy_of_an_older_report_gets_no_200_though_its_worker_reports_on():
+    world = served(machines=3, capacity=3)
+    worker = workers(world)[0]
+    world.run(4)
+    copy = copy_of(worker)
+    holder = holder_of(world, worker)
+    number = holder.roster.workers[worker.name].contact.newest
+    assert world.run(5, lambda: holder.roster.workers[worker.name].contact.newest > number)
+    assert holder.check_in(copy)[0] == 200, "the worker may still wait for it"
+    world.run(5)
+    assert holder.check_in(copy)[0] == 503
+
+
+def test_higher_session_in_a_report_is_asked_about_before_it_is_believed():
+    world = served(machines=3, capacity=3)
+    worker = workers(world)[0]
+    holder = holder_of(world, worker)
+    worker.session = 7
+    copy = copy_of(worker)
+    worker.session = 1
+    asked = []
+    holder.roster.visit = asked.append
+    worker.sequence += 1
+    holder.check_in(copy)
+    assert holder.roster.workers[worker.name].session == 1, "a launch would name a session that never was"
+    assert asked == [worker.address]
+
+
+def test_task_of_a_life_that_its_workers_new_holder_never_knew_is_settled():
+    world = served(machines=3, capacity=3)
+    worker = workers(world)[0]
+    worker.session = 5
+    world.run(4)
+    world.submit("j-1", run_s=60.0, bay=worker.zone)
+    assert world.run(10, lambda: world.running("j-1") != [])
+    for name in world.node_names:
+        world.kill_node(name)
+    worker.restart()
+    for name in world.node_names:
+        world.start_node(name)
+    assert world.run(20, lambda: world.running("j-1") != []), "nobody asked it whether it was still there"
+    assert world.broken == []
+
+
+def test_machine_is_not_used_for_its_reports_alone_and_is_silent_without_answers():
+    world = served(machines=3, capacity=3)
+    worker = workers(world)[0]
+    holder = holder_of(world, worker)
+    holder.watch._looks_cut = lambda zone: True
+    worker.one_way = OneWay.DEAF
+    known = holder.roster.workers[worker.name]
+    limit = world.times.report * 1.25 + seconds(1)
+    worker.step = lambda: None
+    proved = known.contact.proved_at
+    while world.clock.now <= proved + limit + seconds(1):
+        worker.sequence += 2  # as if it had been at another node between
+        holder.check_in(copy_of(worker))
+        world.run(0.5)
+    assert holder.inventory.machines[worker.name].state is MachineState.SILENT
+    holder.inventory.machines[worker.name].state = MachineState.UP  # as if its state were not known here
+    holder.roster._changes.note(worker.name)
+    assert worker.name not in {v.name for v in holder.holding._kept.fresh()}
--- a/tests/test_lone.py
+++ b/tests/test_lone.py
@@ -1,9 +1,11 @@
 """A node that is cut off from the state service and its siblings, and processes that are back at once."""
 
+import orjson
 import pytest
 from traces import served
 
 from kelpjunction.clock import seconds
+from kelpjunction.leadership import LEAD_KEY, Standing
 
 
 def alone(world, *names) -> None:
@@ -140,3 +142,44 @@
             longest = max(longest, world.clock.now - asked)
     assert longest <= seconds(1), "its block lay with it in turn, and waited for its holds to end"
     assert world.broken == []
+
+
+# Guards that were taken out once, and that nothing else noticed
+
+
+def test_one_report_with_a_higher_token_sends_a_blocks_other_workers_away_too():
+    world = served(machines=9, capacity=9)
+    node = world.leader()
+    zone = node.blocks.my_zones()[0]
+    one, other = [w for w, _ in world.cloud.machines.values() if w.zone == zone][:2]
+    one.token = node.blocks.token(zone) + 1
+    assert node.check_in(orjson.dumps(one.report()))[0] == 503
+    assert node.check_in(orjson.dumps(other.report()))[0] == 503
+    node.blocks.raise_tokens([zone])
+    node.blocks.raise_tokens([zone])
+    assert node.check_in(orjson.dumps(other.report()))[0] == 200, "it has the block under a higher token itself"
+
+
+def test_nobody_leads_over_a_lead_that_changed_meanwhile():
+    world = served()
+    name = world.leader_name()
+    node = world.nodes[name]
+    lead = node.mirror.get(LEAD_KEY)
+    other = {"node": "holdfast-9", "term": lead.value["term"] + 1}
+    world.store.handle("POST", "/commit", {"guards": [], "then": [{"set": LEAD_KEY, "data": other}]})
+    node.leadership._stand(Standing.FOLLOWER, "as one that forgot")
+    node.leadership.step()
+    assert world.store.data[LEAD_KEY][0] == other
+
+
+def test_blocks_are_given_to_a_node_that_ended_often_only_when_it_has_stayed():
+    world = served(machines=9, capacity=9)
+    name = next(n for n in world.node_names if n != world.leader_name())
+    for _ in range(4):
+        world.kill_node(name)
+        world.run(0.5)
+        world.start_node(name)
+        world.run(1)
+    world.run(1)
+    assert name not in {g.holder for g in world.leader().blocks.grants.values()}
+    assert world.run(30, lambda: name in {g.holder for g in world.leader().blocks.grants.values()})
