Contact: a question under way is no answer, and three workers are hailed after theirs

Cause, found by rereading: whoever asked a worker that was being asked already was told that it had answered, so that a cut zone could look whole, and a new holder's workers were hailed before anything was known of them, which is never. Each command also looked through all workers for an address. Change: such a question returns None, which counts as no answer where a zone is judged and as none lacking where a machine or this node is; workers are asked and hailed in turn, and looked up by name.

--- a/kelpjunction/fleet/watch.py
+++ b/kelpjunction/fleet/watch.py
@@ -80,20 +80,19 @@
             self._roster.settle_machine(machine)  # returned while nobody held the block
         there = [m for m in self._inventory.machines.values() if m.zone == zone and m.address]
         there = [m for m in there if m.state is not MachineState.RETURNING]
+        hailed = set(self._random.sample([m.name for m in there], min(PROBED, len(there))))
         for machine in there:
-            self._spawn(self._roster.visit, machine.address)
-        self._spawn(self._hail, there)
+            self._spawn(self._greet, machine, machine.name in hailed)
 
-    def _hail(self, machines: list[Machine]) -> None:
-        """Show some of a new block's workers our token.
+    def _greet(self, machine: Machine, hail: bool) -> None:
+        """Ask a new block's worker how it stands; some are shown our token too.
 
         Whoever held the block may have lost the state service and the other
         nodes, but not these workers: they go on reporting to it, and it finds
         out from them.
         """
-        for machine in self._random.sample(machines, min(PROBED, len(machines))):
-            if self._roster.visit(machine.address):
-                self._roster.hail(machine.name)
+        if self._roster.visit(machine.name, machine.address) is not False and hail:
+            self._roster.hail(machine.name)
 
     def mine(self) -> list[Machine]:
         zones = set(self._blocks.my_zones())
@@ -164,7 +163,8 @@
 
     def _visit_silent(self, machine: Machine) -> None:
         asked_at = self._clock.steady()
-        if self._roster.visit(machine.address) or self._blocks.mine(machine.zone) is None:
+        answered = self._roster.visit(machine.name, machine.address)
+        if answered is not False or self._blocks.mine(machine.zone) is None:
             return
         if self._presence.since > asked_at:
             return  # the answer may have come while this node stood still
@@ -188,7 +188,7 @@
             self._spawn(self._ask, machine)
 
     def _ask(self, machine: Machine) -> None:
-        reached = self._roster.visit(machine.address)
+        reached = self._roster.visit(machine.name, machine.address) is not False
         self._asking -= 1
         self._reached = self._reached or reached
         if not self._asking:
@@ -213,7 +213,7 @@
         near = [m for m in self.mine() if m.zone == zone and m.state is MachineState.UP]
         if near:
             some = self._random.sample(near, min(PROBED, len(near)))
-            return not any(self._roster.visit(m.address) for m in some)
+            return not any(self._roster.visit(m.name, m.address) for m in some)
         machines = self._inventory.machines.values()
         there = sum(m.zone == zone for m in machines)
         silent = Counter(m.zone for m in machines if m.state is MachineState.SILENT)
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -80,7 +80,7 @@
         # they are another's, though no news of it has come in.  All their
         # workers are sent away, so that they find that one in time.
         self._overtaken: dict[str, int] = {}
-        self._asking: set[str] = set()  # addresses whose workers are being asked how they stand
+        self._asking: set[str] = set()  # machines that are being asked how they stand
         self.on_seen: Callable[[Report], None] = lambda report: None
         self.images_of: Callable[[str], list[str]] = lambda machine: []
         self.on_exit: Callable[[Placement], None] = lambda placement: None
@@ -106,7 +106,7 @@
         word = worker.contact.heard(number, now)
         doubted = self._take(worker, report, word, now)
         if (doubted or worker.contact.wants_asking(now)) and worker.contact.may_wait(number, now):
-            self._spawn(self.visit, worker.address)
+            self._spawn(self.visit, worker.machine, worker.address)
         if worker.contact.lost or not worker.contact.may_wait(number, now):
             # Each 200 may renew its lease, so none is said to a machine that can't be told to stop
             # anything, nor to a copy: it may find a node that reaches it, else its lease runs out.
@@ -317,7 +317,7 @@
 
     def _post(self, worker: Worker, token: int, session: int, commands: list[Command]) -> bool:
         body = wire.commands_body(token, session, commands)
-        return self._request(worker.address, "POST", wire.COMMANDS_PATH, body, DIRECT_TIMEOUT)
+        return self._request(worker.machine, worker.address, "POST", wire.COMMANDS_PATH, body, DIRECT_TIMEOUT)
 
     def hail(self, machine: str) -> None:
         """Show a worker this node's token: whoever had its block before learns of it from its reports."""
@@ -326,34 +326,35 @@
         if token is not None and worker.token < token:
             self._post(worker, token, worker.session, [])
 
-    def visit(self, address: str) -> bool:
-        """Ask a worker how it stands, without waiting for its report.
+    def visit(self, machine: str, address: str) -> bool | None:
+        """Ask a machine's worker how it stands, without waiting for its report.
 
-        True if it answered; also if somebody is asking it already, who will know.
+        Whether it answered; None if it is being asked already, which is no answer yet.
         """
-        if address in self._asking:
-            return True
-        self._asking.add(address)
+        if machine in self._asking:
+            return None
+        self._asking.add(machine)
         try:
-            return self._request(address, "GET", wire.STATUS_PATH, None, VISIT_TIMEOUT)
+            return self._request(machine, address, "GET", wire.STATUS_PATH, None, VISIT_TIMEOUT)
         finally:
-            self._asking.discard(address)
+            self._asking.discard(machine)
 
-    def _request(self, address: str, method: str, path: str, body: bytes | None, timeout: timedelta) -> bool:
-        """One exchange with a worker, whose answer is its report; whether it came."""
-        asked = {name: w.contact.newest for name, w in self.workers.items() if w.address == address}
+    def _request(
+        self, machine: str, address: str, method: str, path: str, body: bytes | None, timeout: timedelta
+    ) -> bool:
+        """One exchange with a machine's worker, whose answer is its report; whether it came."""
+        asked = self.workers[machine].contact.newest if machine in self.workers else (0, 0)
         try:
             reply = self._transport.request(address, method, path, body, timeout)
             if reply.status not in (200, 409):
                 raise NoAnswer(f"status {reply.status}")
         except NoAnswer as error:
             if path == wire.COMMANDS_PATH:
-                log.info("commands to %s: no answer (%s)", address, error)
-            for name in asked:
-                if worker := self.workers.get(name):
-                    reach = worker.contact.reach
-                    worker.contact.unanswered()
-                    self._note_reach(worker, reach)
+                log.info("commands to %s: no answer (%s)", machine, error)
+            if worker := self.workers.get(machine):
+                reach = worker.contact.reach
+                worker.contact.unanswered()
+                self._note_reach(worker, reach)
             return False
         try:
             report = wire.report_from_fields(reply.fields)
@@ -361,7 +362,7 @@
             log.error("odd report from a worker: %s", error)
             return False
         if self._blocks.mine(report.zone) is not None:
-            self._take_reply(report, asked.get(report.machine, (0, 0)))
+            self._take_reply(report, asked if report.machine == machine else (0, 0))
         return True
 
     def _take_reply(self, report: Report, asked: Number) -> None:
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -250,7 +250,7 @@
     copy = copy_of(worker)
     worker.session = 1
     asked = []
-    holder.roster.visit = asked.append
+    holder.roster.visit = lambda machine, address: asked.append(address)
     worker.sequence += 1
     holder.check_in(copy)
     assert holder.roster.workers[worker.name].session == 1, "a launch would name a session that never was"
@@ -291,3 +291,20 @@
     holder.inventory.machines[worker.name].state = MachineState.UP  # as if its state were not known here
     holder.roster._changes.note(worker.name)
     assert worker.name not in {v.name for v in holder.holding._kept.fresh()}
+
+
+def test_question_under_way_is_no_answer():
+    """A neighbour's answer says whether a zone is cut: nobody may take a question for one."""
+    world = served(machines=3, capacity=3)
+    worker = workers(world)[0]
+    holder = holder_of(world, worker)
+    request, found = holder.roster._request, []
+
+    def ask_meanwhile(machine, *args):
+        found.append(holder.roster.visit(machine, worker.address))
+        found.append(holder.watch._looks_cut(worker.zone))
+        return request(machine, *args)
+
+    holder.roster._request = ask_meanwhile
+    assert holder.roster.visit(worker.name, worker.address) is True
+    assert found == [None, True]
