Contact: no settling while a report's answer may still start the task; giants press after two minutes

Suspected: answers to questions settle by absence now, and may overtake the answer to a report, which says to start the task. A job presses after two minutes; machines are held against arrays that would have others stopped only for a gang that presses.

--- a/kelpjunction/jobs/book.py
+++ b/kelpjunction/jobs/book.py
@@ -84,6 +84,7 @@
     started: int | None = None  # when its start was committed, in ms since its job's submission, if metered
     seen: bool = False  # some report listed it
     inflight: int = 0  # direct commands about it that were not answered yet
+    told_at: timedelta | None = None  # when the answer to a report last said to start it
 
     def advance(self, phase: Phase, now: timedelta) -> None:
         """The one place where the phase changes."""
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -329,7 +329,7 @@
                 too_large[needs] = min(spec.tasks, too_large.get(needs, spec.tasks))
             self._why(job, "the gang does not fit whole")
             if at_top:
-                self._hold_for(job, views, usage, hands)
+                self._hold_for(job, views, usage, hands, firmly=overdue)
             return spec.tasks
         self._why(job, "")
         usage.add(spec.team, spec.cpus, spec.gpus, spec.tasks)
@@ -360,7 +360,7 @@
         attempt = max((c.next_attempt for c in job.chunks.values()), default=1)
         return [(t, Handed(v.zone, v.name, attempt)) for t, v in zip(tasks, chosen, strict=True)]
 
-    def _hold_for(self, job: Job, views: list[View], usage: Usage, hands: HandOvers) -> None:
+    def _hold_for(self, job: Job, views: list[View], usage: Usage, hands: HandOvers, firmly: bool) -> None:
         """The gang tops the order: hand it to the block where it will fit, whose holder keeps machines for it.
 
         Nothing below it in the order goes to the machines picked for it.
@@ -373,7 +373,7 @@
         names = {v.name for v in picked}
         for view in views:
             if view.name in names:
-                view.hold_for(spec.ref)
+                view.hold_for(spec.ref, firmly)
         if len({v.zone for v in picked}) == 1:
             usage.add(spec.team, spec.cpus, spec.gpus, spec.tasks)
             hands.add(job, self._gang_rows(job, picked))
@@ -398,7 +398,7 @@
             return self._hand_anew(job, self._gang_rows(job, chosen))
         for view in views:
             if view.zone in zones and view.type.cpus >= spec.cpus and view.type.gpus >= spec.gpus:
-                view.hold_for(spec.ref)
+                view.hold_for(spec.ref, firmly=self._presses(job, self._clock.utc()))
         return []
 
     def _hand_anew(self, job: Job, rows: list[tuple[TaskId, Handed]]) -> list[Transaction]:
--- a/kelpjunction/jobs/views.py
+++ b/kelpjunction/jobs/views.py
@@ -134,6 +134,7 @@
         images=view.images,
         shunned=view.shunned,
         held_for=view.held_for,
+        firmly=view.firmly,
     )
     for placement in placements:
         if placement.spec.shape is Shape.SERVICE:
--- a/kelpjunction/placement/__init__.py
+++ b/kelpjunction/placement/__init__.py
@@ -35,6 +35,7 @@
     tasks: int = 0
     shunned: bool = False
     held_for: str | None = None
+    firmly: bool = False  # whether that keeps off arrays too that would else have others stopped
     scratched: set[str] | None = None  # where to note that a round wrote to this view
     # What work that needs no accelerator must leave free here, since work
     # that needs one can go nowhere else.
@@ -79,9 +80,9 @@
                 room = min(room, int((free + SLACK) / each))
         return max(0, room)
 
-    def hold_for(self, ref: str) -> None:
-        """Keep this machine for a gang: nothing else starts here."""
-        self.held_for = ref
+    def hold_for(self, ref: str, firmly: bool = False) -> None:
+        """Keep this machine for a gang: nothing below it in the order starts here; if `firmly`, no array at all."""
+        self.held_for, self.firmly = ref, firmly
         self._scratch()
 
     def _scratch(self) -> None:
@@ -405,9 +406,9 @@
         lost = sum((v.loss for v in chosen), timedelta()).total_seconds()
         return lost + 3 * fetch_cost(spec, view), len(chosen), zones[view.zone], view.name, view, chosen
 
-    # Services alone may go where a gang waits for the rest of its machines to come free: arrays that found
-    # no room elsewhere once filled each of them again, and the gang never began.
-    ours = (v for v in views if spec.shape is Shape.SERVICE or v.held_for in (None, spec.ref))
+    # Services alone may go where a gang that has waited long waits for the rest of its machines to come free:
+    # arrays that found no room elsewhere once filled each of them again, and the gang never began.
+    ours = (v for v in views if not v.firmly or spec.shape is Shape.SERVICE or v.held_for == spec.ref)
     able = [v for v in ours if allowed(spec, v.type, v.zone, v.spot) and not v.shunned and not v.kept]
     heap = [entry for entry in map(score, able) if entry is not None]
     heapq.heapify(heap)
--- a/kelpjunction/queue/__init__.py
+++ b/kelpjunction/queue/__init__.py
@@ -14,9 +14,9 @@
 from kelpjunction.wire.messages import JobSpec, Shape
 
 SLACK = 1e-6
-# The largest jobs are to begin within four minutes (PROTOCOL's users): a quarter of that is left to the plain
-# order, the rest to what their room takes to come free or to boot.
-PRESSING_AFTER = timedelta(seconds=60)
+# The largest jobs are to begin within four minutes (PROTOCOL's users): half of that is left to the plain order,
+# the rest to what their room takes to come free or to boot.  After a minute already, others lost deadlines for it.
+PRESSING_AFTER = timedelta(seconds=120)
 
 
 class Waiting(NamedTuple):
--- a/kelpjunction/workers/contact.py
+++ b/kelpjunction/workers/contact.py
@@ -71,7 +71,7 @@
         Returns its worth, and whether the worker began anew: what it says to a
         request is newer than all we knew before, so if its number is not, it counts from the beginning.
         """
-        began_anew = number <= asked
+        began_anew = number < asked
         if not began_anew and number <= self.newest:
             # Others overtook it; that it came proves as much all the same.
             self._prove(now)
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -16,7 +16,7 @@
 from kelpjunction.wire import workers as wire
 from kelpjunction.wire.messages import Cause, Command, Report, TaskId, TaskReport, TaskState, Verb
 from kelpjunction.wire.users import Malformed
-from kelpjunction.workers.contact import Contact, Number, Reach, Word
+from kelpjunction.workers.contact import PATIENCE, Contact, Number, Reach, Word
 
 log = logging.getLogger("workers")
 
@@ -229,7 +229,11 @@
         sent straight to the worker without an answer may arrive minutes
         later, unless the worker has seen a higher token since.
         """
-        gone = placement.seen or not placement.live
+        # Nor does an answer to a question settle it while the answer to a
+        # report, which says to start it, may still come: the two overtake each other.
+        gone = (placement.seen or not placement.live) and (
+            placement.told_at is None or now - placement.told_at >= PATIENCE
+        )
         if gone and placement.inflight == 0 and self._nothing_under_way(worker):
             self.settle(placement, Cause.STOPPED if not placement.live else Cause.LOST, now)
 
@@ -271,6 +275,7 @@
             )
             if absent and placement.live and placement.session == worker.session and not placement.seen:
                 placement.advance(Phase.STARTED, now)
+                placement.told_at = now
                 commands.append(Command(Verb.START, placement.task, placement.attempt))
         return commands
 
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -6,6 +6,7 @@
 
 from kelpjunction.clock import seconds
 from kelpjunction.fleet.machines import MachineState
+from kelpjunction.jobs.book import Phase
 from kelpjunction.lab.standins import OneWay
 from kelpjunction.wire.messages import TaskId
 from kelpjunction.workers.contact import Contact, Reach, Word
@@ -308,3 +309,27 @@
     holder.roster._request = ask_meanwhile
     assert holder.roster.visit(worker.name, worker.address) is True
     assert found == [None, True]
+
+
+def test_answer_to_a_question_settles_nothing_while_the_answer_to_a_report_may_still_start_it():
+    """Seen on a bench day: the question's answer overtook the report's, the task was settled, and then it started."""
+    world = served(machines=1, capacity=1)
+    worker = workers(world)[0]
+    holder = holder_of(world, worker)
+    worker.step = lambda: None
+    world.filter = lambda source, target, path: "lost" if path == "/commands" else None
+    world.submit("j-1", run_s=60.0)
+    assert world.run(3, lambda: holder.book.jobs["j-1"].placed_count() == 1)
+    for node in world.nodes.values():
+        node.follow()
+    worker.token = holder.blocks.token(worker.zone)
+    status, answer = holder.check_in(copy_of(worker))
+    assert status == 200 and b"run" in answer, "this answer is under way"
+    placement = next(holder.book.placements())
+    holder.roster.stop(placement, seconds(0), "a trace")
+    holder.roster.workers[worker.name].doubt = 0
+    holder.roster.visit(worker.name, worker.address)
+    assert holder.book.jobs["j-1"].placed_count() == 1 and placement.phase is not Phase.SETTLED
+    world.clock.now += seconds(5)
+    holder.roster.visit(worker.name, worker.address)
+    assert placement.phase is Phase.SETTLED, "the worker has given that answer up"
