Renewal: the inequality that cancellations rest on stands in one place, and is shown from both sides

Cause: who says 200 to a worker renews a lease on the strength of what it knows; the numbers for that stood in leadership, what counts as known in the mirror, and nothing refused settings that can't keep cancel_s. Of a small room (cancel_s little above lease_s) 1.5 s were taken first, so that below 1.5 s no worker was ever answered. Change: kelpjunction.renewal, pure: grace, how long a watch may wait, what is too tight. Of little room half is used, watches are shorter then, the log tells at the start and when renewing stops; cancel_s without any room is refused by name.

--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -24,6 +24,7 @@
 from kelpjunction.jobs.leading import Leading
 from kelpjunction.jobs.records import Records
 from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
+from kelpjunction.renewal import Renewal
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import StoreClient, StoreDown
 from kelpjunction.store.mirror import LIVE, Mirror, Verifier
@@ -71,7 +72,8 @@
         self.wake = Event()
         self.presence = Presence(clock)
         self.store = StoreClient(transport, platform.store_address, platform.store, clock, pause, share=1.0)
-        self.mirror = Mirror(self.store, clock, follow_transport)
+        renewal = Renewal(platform.workers.lease, platform.workers.cancel, operators.block_lease)
+        self.mirror = Mirror(self.store, clock, follow_transport, watch=renewal.watch)
         self.mirror.on_others = lambda changes: self.store.budget.saw_others(changes, clock.steady())
         changes = Changes()
         self.book = Book(changes)
@@ -195,6 +197,7 @@
 
     def ask_siblings(self) -> None:
         """While out of touch, ask the siblings whether they are too."""
+        self.leadership.note_touch()
         if self.intake.fresh:
             self.intake.siblings_fresh = False
             return
@@ -288,6 +291,12 @@
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
         log.info("%s serves users and workers on %s", self._platform.node, self._platform.listen)
+        renewal = self.node.leadership.renewal
+        if renewal.tight:
+            log.warning(
+                "cancel_s is little above lease_s: %.1f s without the state service end leases, and with them tasks",
+                renewal.grace.total_seconds(),
+            )
         loops = [self._follow, self._lead, self._rounds, self._stops, self._cloud, self._watch, self._peers, self._beat]
         if self.node.keeper is not None:
             loops.append(self._keep)
--- a/kelpjunction/lab/standins.py
+++ b/kelpjunction/lab/standins.py
@@ -169,6 +169,7 @@
         self.cut = False  # no packet gets through
         self.one_way: OneWay | None = None  # half a cut
         self.sick = False
+        self.pace = 1.0  # of its clock: 0.9995 to 1.0005 as PROTOCOL allows
         self.renewed = world.clock.now
         self.node = 0
         self.reporting = False  # at most one report is in flight
@@ -212,7 +213,7 @@
         now = self.world.clock.now
         if not self.alive:
             return
-        if now - self.renewed > self.world.times.lease:
+        if (now - self.renewed) * self.pace > self.world.times.lease:
             self.session += 1
             self.tasks.clear()
             self.renewed = now
--- a/kelpjunction/lab/world.py
+++ b/kelpjunction/lab/world.py
@@ -18,7 +18,7 @@
 from kelpjunction.http import PEER_PATH
 from kelpjunction.lab.site import CLOUD_LIMITS, GUEST, STORE_LIMITS, TEAMS, Site
 from kelpjunction.lab.standins import START, OneWay, WorkerStandIn
-from kelpjunction.settings import Operators, Platform, Sibling, StoreLimits, Team, load_operators
+from kelpjunction.settings import Operators, Platform, Sibling, StoreLimits, Team, WorkerTimes, load_operators
 from kelpjunction.transport import NoAnswer, Reply
 from kelpjunction.wire.users import ABORT_END, JOBS_PATH
 
@@ -70,8 +70,10 @@
         operators: Operators | None = None,
         day_speed: int = 1,
         store: StoreLimits | None = None,
+        times: WorkerTimes | None = None,
     ):
         super().__init__(SimClock(day_speed), seed, ("a", "b", "c"), teams or TEAMS, capacity)
+        self.times = times or self.times
         self.store.limits = store
         self.operators = operators or load_operators(None)
         self.weather, self.varied = weather, weather is not None
--- a/kelpjunction/leadership/__init__.py
+++ b/kelpjunction/leadership/__init__.py
@@ -15,7 +15,8 @@
 from enum import Enum
 
 from kelpjunction.budget import Purpose
-from kelpjunction.clock import Clock, seconds
+from kelpjunction.clock import Clock
+from kelpjunction.renewal import Renewal
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Ending, HoldLost, StoreClient, StoreDown
 from kelpjunction.store.mirror import LIVE, Mirror
@@ -23,7 +24,6 @@
 log = logging.getLogger("leadership")
 
 LEAD_KEY = LIVE + "lead"
-DRIFT = 1.001  # twice the 0.05% that each of two steady clocks may be off
 
 
 class Standing(Enum):
@@ -43,16 +43,6 @@
     began: timedelta
 
 
-def answering_grace(platform: Platform, operators: Operators) -> timedelta:
-    """How long a holder without word from the store may go on renewing workers' leases.
-
-    A task cancelled through another node must be gone within `cancel`: the
-    last renewal plus a whole lease, on clocks that drift, has to fit in.
-    """
-    room = platform.workers.cancel - platform.workers.lease * DRIFT - seconds(1.5)
-    return max(seconds(0), min(operators.block_lease, room))
-
-
 class Leadership:
     """Runs for leader, stays it, and knows when to stop acting as one."""
 
@@ -77,7 +67,8 @@
         self._on_change = on_change
         self._hold: int | None = None
         self._busy = False
-        self.grace = answering_grace(platform, operators)
+        self.renewal = Renewal(platform.workers.lease, platform.workers.cancel, operators.block_lease)
+        self._touching = True  # as the log has told last
         self.standing = Standing.OUTSIDE
         self.reign: Reign | None = None
         self.is_deaf: Callable[[], bool] = lambda: False  # whether this node reaches no machine
@@ -99,8 +90,17 @@
 
     def in_touch(self) -> bool:
         """Whether a 200 to a worker of a block that this node holds cannot break a rule now."""
-        fresh_at = self._mirror.fresh_at
-        return fresh_at is not None and self._clock.steady() - fresh_at < self.grace
+        return self.renewal.may_renew(self._mirror.fresh_at, self._clock.steady())
+
+    def note_touch(self) -> None:
+        """Tell the log when this node stops renewing leases, and when it does again."""
+        if self._mirror.loaded and self.in_touch() is not self._touching:
+            self._touching = not self._touching
+            grace = self.renewal.grace.total_seconds()
+            lost = (
+                f"no lease is renewed here: no news of the state service for {grace:.1f} s, and jobs may be cancelled"
+            )
+            log.info("%s", "leases are renewed here again" if self._touching else lost)
 
     def informed(self) -> bool:
         """Whether the state service's news are fresh, so that what this node holds is likely still its own."""
--- a/kelpjunction/settings.py
+++ b/kelpjunction/settings.py
@@ -10,6 +10,7 @@
 import orjson
 
 from kelpjunction.clock import seconds
+from kelpjunction.renewal import Renewal
 
 SCHEMA_FILE = Path(__file__).with_name("operators.schema.json")
 
@@ -223,6 +224,11 @@
     """Refuse what the schema can't see: a zone nobody knows, a name that stands twice, a limit below its guarantee."""
     params = raw["params"]
     siblings = raw.get("siblings", ())
+    lease, cancel = (seconds(params["workers"][name]) for name in ("lease_s", "cancel_s"))
+    try:
+        Renewal(lease, cancel, block_lease=lease)
+    except ValueError as error:
+        raise SettingsError(f"{path}: params.workers: {error}") from error
     for name, zone in [("zone", raw["zone"]), *((f"siblings: {s['node']}: zone", s["zone"]) for s in siblings)]:
         if zone not in params["zones"]:
             raise SettingsError(f"{path}: {name} must be one of params.zones, not {zone!r}")
--- a/kelpjunction/store/mirror.py
+++ b/kelpjunction/store/mirror.py
@@ -13,13 +13,13 @@
 from gevent.event import AsyncResult
 
 from kelpjunction.clock import Clock
+from kelpjunction.renewal import WATCH
 from kelpjunction.store.client import Ending, StoreClient, StoreDown
 from kelpjunction.transport import Transport
 from kelpjunction.wire.state import GUARDS_PER_OP, Change
 
 log = logging.getLogger("store")
 
-FOLLOW_WAIT = timedelta(seconds=2)
 STALE_AFTER = timedelta(seconds=4)
 REREAD_EVERY = timedelta(seconds=60)
 LIVE = "l/"
@@ -28,8 +28,11 @@
 class Mirror:
     """All keys below a prefix as this process last saw them: the live keys, unless another is given."""
 
-    def __init__(self, store: StoreClient, clock: Clock, transport: Transport, prefix: str = LIVE) -> None:
+    def __init__(
+        self, store: StoreClient, clock: Clock, transport: Transport, prefix: str = LIVE, watch: timedelta = WATCH
+    ) -> None:
         self._prefix = prefix
+        self._watch = watch  # how long to wait for news
         self._store = store
         self._clock = clock
         self._transport = transport
@@ -37,6 +40,7 @@
         self._deleted: dict[str, int] = {}
         self._listeners: list[tuple[str, Callable[[str, Any, int], None]]] = []
         self.revision: int | None = None
+        # A moment up to which every change is known here: `renewal` rests on it.
         self.fresh_at: timedelta | None = None
         self._read_at: timedelta | None = None  # when everything was read last
         self.on_others: Callable[[int], None] = lambda changes: None  # told how many changes others had applied
@@ -91,7 +95,7 @@
         if self.revision is None or asked_at - self._read_at >= REREAD_EVERY:
             self.load()
             return
-        got = self._store.follow(self._prefix, self.revision, FOLLOW_WAIT, self._transport)
+        got = self._store.follow(self._prefix, self.revision, self._watch, self._transport)
         if got is None:
             self.load()
             return
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -10,7 +10,8 @@
 from kelpjunction.changes import Changes
 from kelpjunction.clock import ZERO, Clock, seconds
 from kelpjunction.jobs.book import Book, Phase, Placement
-from kelpjunction.leadership import DRIFT, Leadership
+from kelpjunction.leadership import Leadership
+from kelpjunction.renewal import DRIFT
 from kelpjunction.settings import WorkerTimes
 from kelpjunction.transport import NoAnswer, Transport
 from kelpjunction.wire import workers as wire
@@ -409,7 +410,7 @@
         worker = self.workers.get(machine)
         renewed = worker.answered_at if worker else None
         if worker is None or worker.token < grant.token:
-            earlier = grant.since + self._leadership.grace
+            earlier = grant.since + self._leadership.renewal.grace
             renewed = earlier if renewed is None else max(renewed, earlier)
         if renewed is None:
             renewed = worker.heard_at
