Roster: an attempt is not forgotten while a start of it is under way

Cause: a worker told to start by the answer to a report may end the task, be written down and be told to forget it while the same start, sent straight to it, waits for a socket or in the network; it then ran once more (ran_twice if it had been placed elsewhere). Nothing counted as doubtful before the 2 s without an answer were over. And what was under way was counted on placements, set to 0 when a block came back and less than nothing when it ended. Change: the worker keeps which attempts have commands without an answer; forgetting and settling by absence ask it. A command is made when its turn comes, and one command is for one session.

--- a/kelpjunction/jobs/book.py
+++ b/kelpjunction/jobs/book.py
@@ -83,7 +83,6 @@
     saved: bool = False
     started: int | None = None  # when its start was committed, in ms since its job's submission, if metered
     seen: bool = False  # some report listed it
-    inflight: int = 0  # direct commands about it that were not answered yet
     told_at: timedelta | None = None  # when the answer to a report last said to start it
 
     def advance(self, phase: Phase, now: timedelta) -> None:
@@ -673,5 +672,5 @@
         for placement in self.placements():
             if placement.zone == zone:
                 placement.phase, placement.running_since = Phase.PLACED, None
-                placement.cause, placement.seen, placement.inflight = None, False, 0
+                placement.cause, placement.seen = None, False
                 self.settled.pop(placement.task, None)
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -45,6 +45,7 @@
     answered_at: timedelta | None = None  # when its lease was last renewed, at the latest
     notice_at: timedelta | None = None  # when the cloud takes the machine, as announced
     doubt: int = 0  # commands under tokens up to this one may still arrive
+    sending: Counter[tuple[TaskId, int]] = field(default_factory=Counter)  # attempts of commands without an answer yet
     tasks: dict[TaskId, list[TaskReport]] = field(default_factory=dict)
     images: dict[str, float] = field(default_factory=dict)  # most recently used last
 
@@ -99,7 +100,7 @@
         token = self._blocks.token(report.zone)
         if token is not None and report.token > token:
             self._overtaken[report.zone] = token
-        if not self._leadership.in_touch() or token is None or self._overtaken.get(report.zone) == token:
+        if not self._leadership.in_touch() or token is None or self._is_overtaken(report.zone):
             return 503, b"{}"
         now = self._clock.steady()
         number = (report.session, report.sequence)
@@ -118,6 +119,15 @@
         commands = self._commands_for(worker, token, now)
         return 200, wire.check_in_answer(token, commands)
 
+    def _is_overtaken(self, zone: str) -> bool:
+        token = self._blocks.token(zone)
+        return token is not None and self._overtaken.get(zone) == token
+
+    @property
+    def overtaken(self) -> bool:
+        """Whether a worker proves that others have been granted a block of this node's: they hear the state service."""
+        return any(map(self._is_overtaken, self._blocks.my_zones()))
+
     def _worker(self, report: Report) -> Worker:
         """The worker that a message tells of, known from now on if it was not."""
         worker = self.workers.get(report.machine)
@@ -235,7 +245,7 @@
         gone = (placement.seen or not placement.live) and (
             placement.told_at is None or now - placement.told_at >= PATIENCE
         )
-        if gone and placement.inflight == 0 and self._nothing_under_way(worker):
+        if gone and not worker.sending[placement.task, placement.attempt] and self._nothing_under_way(worker):
             self.settle(placement, Cause.STOPPED if not placement.live else Cause.LOST, now)
 
     def settle(self, placement: Placement, cause: Cause, now: timedelta, saved: bool = False) -> None:
@@ -263,8 +273,9 @@
                 ours = self._is_here(placement, worker, told.attempt)
                 if told.state is TaskState.EXITED:
                     # Forget only once the result is stored, and only when no
-                    # earlier start command can arrive and start it again.
-                    if not ours and token > worker.doubt:
+                    # earlier start command can arrive and start it again: one
+                    # that was sent a moment ago and held up is no doubt yet.
+                    if not ours and token > worker.doubt and not worker.sending[told.task, told.attempt]:
                         commands.append(Command(Verb.FORGET, told.task, told.attempt))
                 elif not ours:
                     commands.append(Command(Verb.STOP, told.task, told.attempt))
@@ -293,33 +304,37 @@
 
     def send(self, placements: list[Placement]) -> None:
         """Tell workers at once to start or stop these."""
-        by_machine: dict[str, list[Placement]] = {}
+        groups: dict[tuple[str, int], list[Placement]] = {}
         for placement in placements:
-            by_machine.setdefault(placement.machine, []).append(placement)
-        for machine, group in by_machine.items():
+            # A command holds for one session: in another, a start of before would be a second one.
+            groups.setdefault((placement.machine, placement.session), []).append(placement)
+        for (machine, _), group in groups.items():
             worker = self.workers.get(machine)
             token = self._blocks.token(worker.zone) if worker else None
-            if token is None or self._overtaken.get(worker.zone) == token or not self._leadership.in_touch():
+            if token is None or self._is_overtaken(worker.zone) or not self._leadership.in_touch():
                 continue
             now = self._clock.steady()
+            worker.sending.update((p.task, p.attempt) for p in group)
             for placement in group:
-                placement.inflight += 1
                 if placement.live:
                     self.starts += 1
                     placement.advance(Phase.STARTED, now)
                 else:
                     self.stops += 1
-            commands = [self.command_of(p) for p in group]
-            self._spawn(self._send, worker, token, commands, group)
-
-    def _send(self, worker: Worker, token: int, commands: list[Command], group: list[Placement]) -> None:
-        session = group[0].session if group else worker.session
-        answered = self._post(worker, token, session, commands)
-        for placement in group:
-            placement.inflight -= 1
-        if not answered:
-            worker.doubt = max(worker.doubt, token)
-            self.bump_zones.add(worker.zone)
+            self._spawn(self._send, worker, token, group)
+
+    def _send(self, worker: Worker, token: int, group: list[Placement]) -> None:
+        # Made only now: by its turn a start may be one that is to be stopped.
+        commands = [self.command_of(p) for p in group]
+        answered = False
+        try:
+            answered = self._post(worker, token, group[0].session, commands)
+        finally:
+            worker.sending.subtract((p.task, p.attempt) for p in group)
+            worker.sending = +worker.sending
+            if not answered:
+                worker.doubt = max(worker.doubt, token)
+                self.bump_zones.add(worker.zone)
 
     def _post(self, worker: Worker, token: int, session: int, commands: list[Command]) -> bool:
         body = wire.commands_body(token, session, commands)
--- /dev/null
+++ b/tests/test_meetings.py
@@ -0,0 +1,136 @@
+"""Where two troubles meet: docs/meetings.md has a section for each."""
+
+import gevent
+import orjson
+import pytest
+from gevent.event import Event
+from traces import served
+
+from kelpjunction.jobs.book import RUN_PREFIX
+from kelpjunction.lab.world import STORE, World
+from kelpjunction.transport import NoAnswer, Reply
+
+
+class Held:
+    """Direct commands of one node that are under way until they are let go; they arrive all the same, then."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world, self.name, self.go, self.under_way = world, name, Event(), []
+        self.roster = world.nodes[name].roster
+        self._request = self.roster._transport.request
+        self.roster._transport = self
+        self.roster._spawn = lambda function, *args: gevent.spawn(function, *args)
+
+    def request(self, address, method, path, body, timeout) -> Reply:
+        if path != "/commands" or self.go.is_set():
+            return self._request(address, method, path, body, timeout)
+        self.under_way.append((address, orjson.loads(body)))
+        self.go.wait()
+        raise NoAnswer("no answer in time")
+
+    def run(self, duration: float) -> None:
+        """Let time pass, with the requests that wait beside it."""
+        for _ in range(round(duration * 10)):
+            self.world.run(0.1)
+            gevent.sleep(0)
+
+    def arrive(self) -> None:
+        """What was held up arrives at last, and its sender has given it up."""
+        for address, body in self.under_way:
+            self.world.cloud.at[address].handle("POST", "/commands", body)
+        self.go.set()
+        gevent.sleep(0)
+
+
+@pytest.mark.parametrize("ends", ["done", "refused"])
+def test_start_that_is_held_up_until_after_its_attempt_was_forgotten(ends):
+    """The worker was told to start by the answer to a report, and the task ended, before the start sent to it came."""
+    world = served()
+    held = [Held(world, name) for name in world.node_names]
+    world.submit("j-1", run_s=0.1)
+    run = held[0].run
+    while not any(h.under_way for h in held):
+        run(0.1)
+    holder = next(h for h in held if h.under_way)
+    if ends == "refused":
+        address, body = holder.under_way[0]
+        order = body["orders"][0]
+        world.cloud.at[address].tasks[order["frond"], order["launch"]] = {"tide": "exited", "cause": "full"}
+    run(8)
+    before = world.starts.count("j-1/0")
+    holder.arrive()
+    assert world.starts.count("j-1/0") == before, "the attempt had been forgotten, so it was started once more"
+    run(20)
+    assert world.poll("j-1") == "done"
+    assert world.broken == []
+
+
+def test_block_that_comes_back_while_a_command_is_under_way_counts_it_right():
+    """The count of what is under way began anew with the block, and what ended later made it less than nothing."""
+    world = served()
+    name = world.leader_name()
+    held = Held(world, name)
+    world.submit("j-1", 6, run_s=30.0)
+    while not held.under_way:
+        held.run(0.1)
+    node = world.nodes[name]
+    for zone in node.blocks.my_zones():
+        node.holding.gain(zone)
+    held.run(3)
+    held.go.set()
+    gevent.sleep(0)
+    assert node.roster.workers
+    assert all(w.sending == +w.sending for w in node.roster.workers.values())
+    held.run(60)
+    assert world.poll("j-1") == "done"
+    assert world.broken == []
+
+
+def test_member_key_written_late_does_not_undo_the_newer_one():
+    """A node's first word on itself is held up; it comes after the next one, with a hold that ends soon."""
+    world = served()
+    name = next(n for n in world.node_names if n != world.leader_name())
+    key = f"l/node/{name}"
+    _, version, hold = world.store.data[key]
+    node = world.nodes[name]
+    bodies = []
+
+    def keep(source, target, path):
+        return "lost" if source == name and path == "/commit" else None
+
+    request = node.store._transport.request
+
+    def watch(address, method, path, body, timeout):
+        if address == STORE and path == "/commit" and key.encode() in body:
+            bodies.append(orjson.loads(body))
+        return request(address, method, path, body, timeout)
+
+    node.store._transport.request = watch
+    node.leadership.is_deaf = lambda: True
+    world.filter = keep
+    world.run(1)
+    assert bodies, "it was sent, and nothing came back"
+    world.filter = lambda *_: None
+    node.leadership.is_deaf = lambda: False
+    late = bodies[0]
+    assert late["guards"] == [{"key": key, "stamp": version}]
+    node.leadership.is_deaf = lambda: True
+    world.run(1)
+    node.leadership.is_deaf = lambda: False
+    world.run(1)
+    now = world.store.data[key]
+    assert world.store.handle("POST", "/commit", late).status == 409
+    assert world.store.data[key] == now
+    assert now[2] == hold
+
+
+def test_chunk_of_a_job_that_is_not_known_yet_is_not_swept():
+    """A leader deletes what ended jobs left behind; a job whose news have not come in has not ended."""
+    world = served()
+    world.submit("j-1", run_s=60.0)
+    assert world.run(10, lambda: world.running("j-1") != [])
+    leader = world.leader()
+    del leader.book.jobs["j-1"]
+    leader.records.left_over = True
+    leader.leading._sweep()
+    assert f"{RUN_PREFIX}j-1/0" in world.store.data
