Guards: member keys by their version, left-over chunks by their job's absence

Cause: two writes were held only by a hold or by the lead: a node's word on itself, written late, undid the newer one and vanished with the older hold, so a live node counted as gone; and chunks below a job that a leader had no news of yet would have been deleted as left over. Change: both are guarded.

--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -16,7 +16,7 @@
 from kelpjunction.clock import ZERO, Clock, seconds
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.jobs.blame import Blame
-from kelpjunction.jobs.book import CHUNK, RUN_PREFIX, Book, Chunk, Handed, Job
+from kelpjunction.jobs.book import CHUNK, JOB_PREFIX, RUN_PREFIX, Book, Chunk, Handed, Job
 from kelpjunction.jobs.handing import HandOvers
 from kelpjunction.jobs.holding import weight_of
 from kelpjunction.jobs.records import PURPOSES, Records, run_key
@@ -117,12 +117,16 @@
         return bool(over) or handed
 
     def _sweep(self) -> None:
-        """Delete chunks that ended jobs left behind because a transaction has limits."""
+        """Delete chunks that ended jobs left behind because a transaction has limits.
+
+        Guarded by the job's absence: a job that this node knows nothing of yet is not one that ended.
+        """
         if not self._records.left_over:
             return
         self._records.left_over = False
         keys = [e.key for e in self._mirror.below(RUN_PREFIX) if e.key.split("/")[2] not in self._book.jobs]
-        written = self._records.write([self._led().delete(key) for key in keys])
+        txns = [self._led().guard(JOB_PREFIX + key.split("/")[2], 0).delete(key) for key in keys]
+        written = self._records.write(txns)
         self._records.left_over = not written or self._records.undone
 
     def _led(self, purpose: Purpose = Purpose.SPARE) -> Transaction:
--- a/kelpjunction/leadership/__init__.py
+++ b/kelpjunction/leadership/__init__.py
@@ -143,12 +143,23 @@
             self._stand(Standing.FOLLOWER, "member")
 
     def _tell(self, hold: int) -> bool:
-        """Write this node's member key."""
+        """Write this node's member key.
+
+        Guarded by its version: a write without an answer, of this process or
+        the one before it, is carried out late or not at all, but never over a
+        newer one, whose node would then count as gone with the older hold.
+        """
         key, member = self._member_prefix + self._node, self._member
-        outcome = self._store.commit({}, {key: member}, holds={key: hold}, purpose=Purpose.HOLD)
-        if outcome.ending is Ending.APPLIED:
-            self._mirror.put(key, member, outcome.revision)
-        return outcome.ending is Ending.APPLIED
+        for _ in range(2):
+            guards = {key: self._mirror.version(key)}
+            outcome = self._store.commit(guards, {key: member}, holds={key: hold}, purpose=Purpose.HOLD)
+            if outcome.ending is Ending.APPLIED:
+                self._mirror.put(key, member, outcome.revision)
+                return True
+            if outcome.ending is not Ending.CONFLICT:
+                return False
+            self._mirror.refresh(key)
+        return False
 
     @property
     def _member(self) -> dict:
