Health: a node whose worker proves it overtaken leaves the load balancer

Cause: a node without state service and siblings can't ask whether others are served, stayed healthy, and its users got 503 for as long as the cut lasted. Change: a report with a higher token than its block's proves it. In everybody's outage nobody leaves.

--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -202,7 +202,8 @@
             self.intake.siblings_fresh = False
             return
         asked = (ask_peer(self._transport, sibling.address) for sibling in self.platform.siblings)
-        self.intake.siblings_fresh = any(asked)
+        # One cut off from its siblings too has nobody to ask; its workers may know.
+        self.intake.siblings_fresh = self.roster.overtaken or any(asked)
 
     def stop(self) -> None:
         """Tell workers to stop what must stop, whatever a round waits for."""
--- a/tests/test_lone.py
+++ b/tests/test_lone.py
@@ -61,6 +61,21 @@
     assert world.nodes[name].leadership.in_touch()
 
 
+def test_lone_node_leaves_the_load_balancer_once_a_worker_proves_it_alone():
+    """It has no sibling to ask, and its users got nothing but 503 for as long as the cut lasted."""
+    world = served(machines=9, capacity=9)
+    name = world.leader_name()
+    alone(world, name)
+    world.run(8)
+    assert [world.nodes[n].intake.healthy() for n in world.node_names] == [n != name for n in world.node_names]
+    alone(world)
+    world.run(3)
+    assert world.nodes[name].intake.healthy()
+    alone(world, *world.node_names)
+    world.run(8)
+    assert all(node.intake.healthy() for node in world.nodes.values()), "everybody's outage makes nobody leave"
+
+
 def test_users_of_a_lone_node_are_told_at_once_to_come_back():
     world = served()
     world.submit("j-1", run_s=60.0)
