Schedules: pairs of troubles that overlap, the gap, slow answers and late writes

Cause: faults were drawn one by one. Change: two at a time, moments apart, with submissions and cancellations between; the refusal of one node followed by everybody's outage.

--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from kelpjunction.lab.standins import OneWay
-from kelpjunction.lab.world import World, seconds
+from kelpjunction.lab.world import STORE, World, seconds
 
 
 class Schedule:
@@ -13,17 +13,22 @@
         self.world = World(seed=seed, machines=6, capacity=9)
         self.random = self.world.random
         self.refs: list[str] = []
-        self.loss = 0.0
+        self.loss = self.late_writes = 0.0
+        self.slow = False
         self.world.filter = self._fate
         self.pause: tuple[str, float] | None = None  # a node that stands still at a request it sends soon
         self.world.stand_still = self._pause
 
     def _fate(self, source: str, target: str, path: str) -> str | None:
-        if path == "/follow" or self.random.random() >= self.loss:
+        if path == "/commit" and self.random.random() < self.late_writes:
+            return "held"
+        if self.random.random() >= self.loss:
             return None
         return self.random.choice(["held", "lost", "answer lost"])
 
     def _pause(self, source: str, target: str, path: str) -> float:
+        if self.slow and target == STORE and self.random.random() < 0.02:
+            return self.random.uniform(0.2, 1.9)
         if self.pause is None or self.pause[0] != source or self.random.random() < 0.7:
             return 0.0
         (_, duration), self.pause = self.pause, None
@@ -49,8 +54,42 @@
             self._submit, self._submit, self._submit, self._abort, self._kill_node, self._start_nodes,
             self._cut_store, self._heal, self._outage, self._worker_cut, self._worker_dies, self._noise, self._spot,
             self._freeze, self._one_way, self._copies, self._alone, self._node_blinks, self._worker_blinks,
+            self._slow, self._late_writes, self._meet, self._meet, self._gap,
         ]  # fmt: skip
 
+    def _meet(self) -> None:
+        """Two troubles at once, a moment apart, while users submit and cancel; they last until something heals them."""
+        troubles = [
+            self._kill_node, self._cut_store, self._outage, self._worker_cut, self._noise, self._freeze, self._one_way,
+            self._copies, self._alone, self._node_blinks, self._worker_blinks, self._slow, self._late_writes,
+        ]  # fmt: skip
+        one, other = self.random.sample(troubles, 2)
+        one()
+        self.world.run(self.random.uniform(0.1, 3))
+        self.random.choice([self._submit, self._abort])()
+        other()
+        self.world.run(self.random.uniform(0.1, 3))
+        self._abort()
+        self.world.run(self.random.uniform(1, 25))
+
+    def _gap(self) -> None:
+        """The state service refuses a node, then is down for all; what is cancelled between the two stays told."""
+        self._cut_store()
+        self.world.run(self.random.uniform(0, 6))
+        self._abort()
+        self._outage()
+        self.world.run(self.random.uniform(0, 60))
+        if self.random.random() < 0.7:
+            self.world.store.outage(False)
+
+    def _slow(self) -> None:
+        """The state service takes up to its callers' patience; who asks stands still meanwhile."""
+        self.slow = not self.slow
+
+    def _late_writes(self) -> None:
+        """Some transactions get no answer and are carried out after newer ones."""
+        self.late_writes = 0.0 if self.late_writes else 0.2
+
     def _submit(self) -> None:
         if not any(self.world.nodes.values()):
             return
@@ -91,7 +130,8 @@
         self.world.cut_from_store = self.world.cut_from_peers = set()
         self.world.copies = lambda worker: []
         self.world.store.outage(False)
-        self.loss = 0.0
+        self.loss = self.late_writes = 0.0
+        self.slow = False
         for worker, _ in self.world.cloud.machines.values():
             worker.cut, worker.one_way = False, None
 
