--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -4,10 +4,11 @@
 import orjson
 import pytest
 from gevent.event import Event
-from traces import served
+from traces import served, worker_of
 
 from kelpjunction.jobs.book import RUN_PREFIX
-from kelpjunction.lab.world import STORE, World
+from kelpjunction.lab.standins import OneWay
+from kelpjunction.lab.world import STORE, World, seconds
 from kelpjunction.transport import NoAnswer, Reply
 
 
@@ -134,3 +135,103 @@
     leader.records.left_over = True
     leader.leading._sweep()
     assert f"{RUN_PREFIX}j-1/0" in world.store.data
+
+
+def test_lone_leader_and_the_new_one_answer_the_same_users():
+    """Jobs are finished, cancelled and submitted through the new leader; whoever is asked tells nothing older."""
+    world = served(machines=9, capacity=9)
+    old = world.leader_name()
+    other = next(n for n in world.node_names if n != old)
+    world.submit("j-1", 3, run_s=8.0)
+    world.submit("j-2", 3, run_s=300.0)
+    world.submit("j-3", 3, run_s=300.0)
+    assert world.run(10, lambda: len(world.running()) == 9)
+    world.cut_from_store = world.cut_from_peers = {old}
+    asked = 0
+
+    def ask_both() -> bool:
+        nonlocal asked
+        for ref in ("j-1", "j-2", "j-3", "j-4"):
+            for node in (old, other):
+                asked += world.poll(ref, node=node) is not None
+        return False
+
+    assert world.abort("j-2", node=other) == 200
+    world.run(5, ask_both)
+    assert world.submit("j-4", 3, run_s=3.0, node=other) == 201
+    world.run(10, ask_both)
+    assert world.abort("j-3", node=other) == 200
+    world.run(20, ask_both)
+    assert any(world.nodes[n].leadership.reign for n in world.node_names if n != old)
+    world.cut_from_store = world.cut_from_peers = set()
+    world.run(30, ask_both)
+    assert [world.told[f"j-{n}"] for n in (1, 2, 3, 4)] == ["done", "withdrawn", "withdrawn", "done"]
+    assert asked > 100
+    assert world.broken == []
+
+
+@pytest.mark.parametrize("how", ["cut", "deaf", "unanswered"])
+def test_leader_ends_while_machines_with_long_tasks_are_not_reached(how):
+    """Nothing starts twice, no limit is overshot, and no task stays in doubt for longer than leases force."""
+    world = served(machines=9, capacity=12)
+    world.submit("j-1", 18, run_s=70.0)  # all that its team may have at once, and more
+    world.submit("j-2", 2, shape="ensemble", run_s=60.0, mark_s=5.0, stow_s=1.0, crew="blue")
+    assert world.run(10, lambda: len(world.running()) == 20)
+    lost = sorted({worker_of(world, f).name for f, _ in world.running()})[:3]
+    for name in lost:
+        worker = world.cloud.machines[name][0]
+        if how == "cut":
+            worker.cut = True
+        else:
+            worker.one_way = OneWay(how)
+    world.kill_node(world.leader_name())
+    limit = world.times.lease + seconds(30)  # a grace, the notice that nobody leads, and the rounds
+    assert world.run(limit.total_seconds(), lambda: world.leader() is not None and not _doubted(world, lost))
+    for worker, _ in world.cloud.machines.values():
+        worker.cut, worker.one_way = False, None
+    for name in world.node_names:
+        if not world.runs(name):
+            world.start_node(name)
+    assert world.run(200, lambda: [world.poll(r) for r in ("j-1", "j-2")] == ["done", "done"])
+    assert world.broken == []
+
+
+@pytest.mark.parametrize("shape", ["batch", "ensemble"])
+@pytest.mark.parametrize("leaders", [1, 2])
+def test_small_jobs_end_far_apart_across_changes_of_leader(shape, leaders):
+    """Two or three tasks, of which one ends under the first leader and the others under later ones."""
+    world = served(machines=9, capacity=9)
+    refs = [f"j-{n}" for n in range(6)]
+    for number, ref in enumerate(refs):
+        fields = {"shape": shape, "mark_s": 5.0, "stow_s": 1.0} if shape == "ensemble" else {}
+        world.submit(ref, 2 + number % 2, run_s=90.0, cpus=0.5, **fields)
+    assert world.run(10, lambda: len(world.running()) == 15)
+    for ref in refs:
+        _end(world, f"{ref}/0")
+    for number in range(leaders):
+        world.run(0.3)
+        leader = world.leader_name()
+        world.kill_node(leader)
+        world.run(0.5 if number else 4)
+        for ref in refs:
+            _end(world, f"{ref}/{number + 1}")
+        assert {world.poll(ref) for ref in refs} <= {"running", "pending", "done", None}
+        world.start_node(leader)
+        assert world.run(10, lambda: world.leader() is not None)
+    for ref in refs:
+        _end(world, f"{ref}/2")
+    assert world.run(150, lambda: all(world.poll(ref) == "done" for ref in refs))
+    assert world.broken == []
+
+
+def _doubted(world: World, machines: list[str]) -> list:
+    return [p for p in world.leader().book.placements() if p.machine in machines]
+
+
+def _end(world: World, frond: str) -> None:
+    """Let a task complete now, if it runs; of a gang, all of them."""
+    for worker, _ in world.cloud.machines.values():
+        for (name, _), task in worker.tasks.items():
+            together = task["job"]["shape"] == "ensemble" and name.split("/")[0] == frond.split("/")[0]
+            if (name == frond or together) and task["tide"] == "running":
+                task["ends"] = world.clock.now
