--- a/kelpjunction/lab/site.py
+++ b/kelpjunction/lab/site.py
@@ -54,6 +54,7 @@
         self.jobs: dict[str, dict] = {}
         self.told_cancelled: dict[str, timedelta] = {}
         self.told: dict[str, str] = {}
+        self.asked_to_cancel: set[str] = set()
         self.finished: set[str] = set()
         self.starts: list[str] = []
         self.broken: list[str] = []
@@ -232,8 +233,13 @@
             self.broken.append(f"forgotten: {ref}")
         if status != 200:
             return None
+        if ref not in self.jobs:
+            self.broken.append(f"invented: {ref}")
+            return None
         state = answer["tide"]
         before = self.told.get(ref)
+        if state == "withdrawn" and ref not in self.asked_to_cancel:
+            self.broken.append(f"went_back: {ref} is called cancelled, which its user never asked for")
         if before in ("done", "withdrawn") and state != before:
             self.broken.append(f"went_back: {ref} {before} -> {state}")
         if state == "done" and (missing := self._unfinished(ref)):
@@ -245,6 +251,7 @@
         return state
 
     def abort(self, ref: str, node: str | None = None) -> int | None:
+        self.asked_to_cancel.add(ref)
         status, answer = self._asked("POST", f"{JOBS_PATH}/{ref}{ABORT_END}", b"", node)
         self.attendance.asked(ref, status == 200, self.clock.now)
         if status == 200:
--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,124 @@
+"""Schedules and traces mean something only if the checker notices a breach of each rule of PROTOCOL."""
+
+import pytest
+from traces import served, worker_of
+
+from kelpjunction.lab.world import World, seconds
+
+
+def rules(world: World) -> set[str]:
+    return {broken.split(":")[0] for broken in world.broken}
+
+
+def running(**fields) -> World:
+    world = served()
+    world.submit("j-1", fields.pop("tasks", 2), run_s=60.0, cpus=1.0, **fields)
+    assert world.run(20, lambda: len(world.running("j-1")) == world.jobs["j-1"]["fronds"])
+    assert world.broken == []
+    return world
+
+
+def start(world: World, ref: str, index: int, zone: str = "", attempt: int = 9) -> None:
+    """Start a task where its node did not choose to."""
+    on = {m for f, m in world.running() if f == f"{ref}/{index}"}
+    there = [w for w, _ in world.cloud.machines.values() if w.name not in on and zone in ("", w.zone)]
+    there[0].execute([{"verb": "run", "frond": f"{ref}/{index}", "launch": attempt}])
+
+
+def test_ran_twice():
+    world = running()
+    start(world, "j-1", 0)
+    assert rules(world) == {"ran_twice"}
+
+
+def test_quota():
+    world = running(tasks=40)  # all that its team may have
+    world.submit("j-2", cpus=1.0)
+    start(world, "j-2", 0)
+    assert rules(world) == {"quota"}
+
+
+@pytest.mark.parametrize("how", ["spot", "zone", "together", "apart"])
+def test_wrong_place(how):
+    world = served()
+    fields = {
+        "spot": {"driftwood": False},
+        "zone": {"bay": "a"},
+        "together": {"shape": "ensemble", "together": True},
+        "apart": {"shape": "service", "apart": True},
+    }[how]
+    world.jobs["j-1"] = world.jobs.get("j-1") or _job(fields)
+    if how == "spot":
+        world.cloud.add("a", True, world.clock.now).execute([{"verb": "run", "frond": "j-1/0", "launch": 1}])
+    elif how == "zone":
+        start(world, "j-1", 0, zone="b")
+    else:
+        start(world, "j-1", 0, zone="a")
+        start(world, "j-1", 1, zone="b" if how == "together" else "a")
+    assert rules(world) == {"wrong_place"}
+
+
+def _job(fields: dict) -> dict:
+    return {"ref": "j-1", "crew": "red", "shape": "batch", "fronds": 2, "cpus": 1.0, "run_s": 9.0} | fields
+
+
+@pytest.mark.parametrize("late", [39.8, 40.2])
+def test_ran_cancelled(late):
+    world = running()
+    worker = worker_of(world, "j-1/0")
+    task = dict(worker.tasks["j-1/0", 1])
+    assert world.abort("j-1") == 200
+    world.run(5)
+    assert world.running() == []
+    told = world.told_cancelled["j-1"]
+    world.run((told + seconds(late) - world.clock.now).total_seconds())
+    worker.tasks["j-1/0", 1] = task
+    world._check_cancelled("j-1")
+    assert rules(world) == ({"ran_cancelled"} if late > world.times.cancel.total_seconds() else set())
+
+
+@pytest.mark.parametrize("how", ["404", "422", "201"])
+def test_forgotten(how):
+    world = running()
+    keys = [k for k in world.store.data if "/j-1" in k]
+    if how == "422":
+        world.ask = lambda *_: (422, {})
+        world.submit("j-1")
+    elif how == "201":
+        world.ask = lambda *_: (201, {"ref": "j-1", "tide": "pending"})
+        world.submit("j-1")
+    else:
+        for key in keys:
+            world.store.handle("POST", "/commit", {"guards": [], "then": [{"delete": key}]})
+        world.run(1)
+        assert world.poll("j-1") is None
+    assert rules(world) == {"forgotten"}
+
+
+def test_invented():
+    world = running()
+    assert world.poll("j-2") is None
+    assert world.broken == []
+    world.ask = lambda *_: (200, {"ref": "j-2", "tide": "pending"})
+    world.poll("j-2")
+    assert rules(world) == {"invented"}
+
+
+def test_not_done():
+    world = running()
+    world.ask = lambda *_: (200, {"ref": "j-1", "tide": "done"})
+    world.poll("j-1")
+    assert rules(world) == {"not_done"}
+
+
+@pytest.mark.parametrize(("told", "then"), [("done", "running"), ("withdrawn", "done"), ("accepted", "withdrawn")])
+def test_went_back(told, then):
+    world = running()
+    world.finished |= {"j-1/0", "j-1/1"}
+    for state in (told, then):
+        if state != "accepted":
+            world.ask = lambda *_, state=state: (200, {"ref": "j-1", "tide": state})
+            if told == "withdrawn" and state == told:
+                world.abort("j-1")
+            world.poll("j-1")
+    assert rules(world) == {"went_back"}
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -12,7 +12,7 @@
 from traces import served
 
 from kelpjunction.clock import seconds
-from kelpjunction.lab.world import STORE, World
+from kelpjunction.lab.world import STORE, Weather, World
 from kelpjunction.renewal import AMPLE, Renewal
 from kelpjunction.settings import WorkerTimes
 from kelpjunction.store.client import StoreClient
@@ -118,6 +118,14 @@
     assert world.broken == []
 
 
+def test_gap_with_reports_and_answers_on_their_way_for_seconds():
+    """A 200 that was checked long before it arrives renews no more than its report's sending does."""
+    world = served(machines=9, capacity=9, times=TIGHT)
+    world.weather = Weather(delay=(0.1, 3.8), loss=0.0)
+    play(world, Gap())
+    assert world.broken == []
+
+
 def test_the_trace_notices_a_node_that_renews_for_too_long():
     world = served(machines=9, capacity=9, times=TIGHT)
     play(world, Gap(cancelled=(-0.1, 0.1), grace=4.0))
