--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -1,15 +1,18 @@
 """Where two troubles meet: docs/meetings.md has a section for each."""
 
+from dataclasses import replace
+
 import gevent
 import orjson
 import pytest
 from gevent.event import Event
 from traces import served, worker_of
 
-from kelpjunction.jobs.book import RUN_PREFIX
+from kelpjunction.jobs.book import RUN_PREFIX, Phase, Placement
 from kelpjunction.lab.standins import OneWay
 from kelpjunction.lab.world import STORE, World, seconds
 from kelpjunction.transport import NoAnswer, Reply
+from kelpjunction.wire.messages import TaskId, Verb
 
 
 class Held:
@@ -66,6 +69,55 @@
     assert world.broken == []
 
 
+def _one_under_way(world: World) -> tuple[Held, Placement]:
+    """A start that its holder has sent and that has not come, of a task that no report has listed."""
+    held = [Held(world, name) for name in world.node_names]
+    world.submit("j-1", run_s=20.0)
+    while not any(h.under_way for h in held):
+        held[0].run(0.1)
+    holder = next(h for h in held if h.under_way)
+    return holder, world.nodes[holder.name].book.placement(TaskId("j-1", 0))
+
+
+def test_absence_does_not_settle_what_a_start_under_way_may_still_bring():
+    """It was stopped meanwhile; were it settled, it would be placed anew, and the start would come after all."""
+    world = served()
+    holder, placement = _one_under_way(world)
+    holder.roster.stop(placement, seconds(0), "a service needs its room")
+    worker = holder.roster.workers[placement.machine]
+    assert holder.roster.visit(worker.machine, worker.address)
+    assert placement.phase is Phase.STOPPING, "the worker does not have it, and may have it yet"
+    holder.arrive()
+    holder.run(60)
+    assert world.poll("j-1") == "done"
+    assert world.broken == []
+
+
+def test_start_that_waits_for_its_turn_is_a_stop_by_then_if_it_must_be():
+    world = served()
+    holder, placement = _one_under_way(world)
+    turns, sent = [], []
+    holder.roster._spawn = lambda *turn: turns.append(turn)
+    holder.roster._post = lambda worker, token, session, commands: sent.append((session, commands)) or True
+    placement.phase = Phase.PLACED
+    holder.roster.send([placement])
+    holder.roster.stop(placement, seconds(0), "cancelled")
+    turns[0][0](*turns[0][1:])
+    assert [c.verb for _, commands in sent for c in commands] == [Verb.STOP]
+
+
+def test_command_is_for_one_session():
+    """One that names the wrong session is not executed; one that named the right one would start what is over."""
+    world = served()
+    holder, placement = _one_under_way(world)
+    later = replace(placement, task=TaskId("j-1", 1), session=placement.session + 1)
+    sent = []
+    holder.roster._post = lambda worker, token, session, commands: sent.append((session, len(commands))) or True
+    holder.roster.send([placement, later])
+    gevent.sleep(0)
+    assert sent == [(placement.session, 1), (later.session, 1)]
+
+
 def test_block_that_comes_back_while_a_command_is_under_way_counts_it_right():
     """The count of what is under way began anew with the block, and what ended later made it less than nothing."""
     world = served()
