Blocks: a grant under a token that its holder did not take itself begins anew

Cause: a node cut from the state service whose block was another's for a while, and came back before the news did, saw the last grant only (all keys are read once a minute, one key after a conflict): same holder, so nothing had happened. It kept what it knew of the workers and reckoned leases that others had renewed to have ended long ago, so all on those machines was started once more. Change: a raise by the holder itself is marked in the grant; every other new token is a loss and a gain.

--- a/kelpjunction/blocks/__init__.py
+++ b/kelpjunction/blocks/__init__.py
@@ -81,21 +81,26 @@
     def _changed(self, key: str, value: dict | None, version: int) -> None:
         zone = key.removeprefix(BLOCK_PREFIX)
         old = self.grants.get(zone)
-        had = self.mine(zone) is not None
+        had, same = self.mine(zone) is not None, False
         if value is None:
             self.grants.pop(zone, None)
         else:
-            holder = (value["holder"], value["incarnation"])
+            holder, token = (value["holder"], value["incarnation"]), value["token"]
+            # What comes in may be the last of several grants: read with all
+            # keys, or alone after a conflict.  Under a new token that its
+            # holder did not take itself, the block was perhaps another's
+            # meanwhile, who renewed leases and placed what is not known here.
             same = old is not None and (old.holder, old.incarnation) == holder
+            same = same and (old.token == token or value.get("raised", False))
             since = old.since if same else self._clock.steady()
-            self.grants[zone] = Grant(zone, *holder, value["term"], value["token"], version, since)
+            self.grants[zone] = Grant(zone, *holder, value["term"], token, version, since)
         has = self.mine(zone) is not None
-        if has and not had:
-            log.info("this node holds block %s under token %d", zone, self.grants[zone].token)
-            self.on_gain(zone)
-        elif had and not has:
+        if had and not same:
             log.info("this node holds block %s no longer", zone)
             self.on_loss(zone)
+        if has and not (had and same):
+            log.info("this node holds block %s under token %d", zone, self.grants[zone].token)
+            self.on_gain(zone)
 
     def mine(self, zone: str) -> Grant | None:
         """The grant of a block that this very process holds."""
@@ -120,7 +125,7 @@
             grant = self.mine(zone)
             if grant is not None:
                 holders[zone] = (grant.holder, grant.incarnation, grant.term)
-        return self._write(holders, {}) if holders else True
+        return self._write(holders, {}, raised=True) if holders else True
 
     def assign(self, reign: Reign, zones: list[str], members: dict[str, dict]) -> None:
         """As leader, grant each block without a live holder, and level blocks out among the live nodes.
@@ -173,7 +178,12 @@
         least = min(load[n] for n in members)
         return min(members, key=lambda n: (load[n] > least, members[n]["zone"] != zone, load[n], n))
 
-    def _write(self, holders: dict[str, tuple[str, str, int]], guards: dict[str, int]) -> bool:
+    def _write(self, holders: dict[str, tuple[str, str, int]], guards: dict[str, int], raised: bool = False) -> bool:
+        """Write these grants under new tokens.
+
+        `raised` marks those of their own holder: guarded by the grants as it
+        knew them, so nobody had the blocks in between, whenever it hears of it.
+        """
         counter = self._mirror.get(TOKEN_KEY)
         token = counter.value if counter else 0
         guards = guards | {TOKEN_KEY: counter.version if counter else 0}
@@ -181,7 +191,8 @@
         for zone, (holder, incarnation, term) in holders.items():
             token += 1
             guards[block_key(zone)] = self.grants[zone].version if zone in self.grants else 0
-            puts[block_key(zone)] = {"holder": holder, "incarnation": incarnation, "term": term, "token": token}
+            grant = {"holder": holder, "incarnation": incarnation, "term": term, "token": token}
+            puts[block_key(zone)] = grant | ({"raised": True} if raised else {})
         puts[TOKEN_KEY] = token
         outcome = self._store.commit(guards, puts, purpose=Purpose.HOLD)
         if outcome.ending is not Ending.APPLIED:
--- a/tests/test_blocks.py
+++ b/tests/test_blocks.py
@@ -125,3 +125,21 @@
     assert world.run(10, lambda: frond in dict(world.running("j-1")))
     assert world.leader() is None
     assert world.broken == []
+
+
+def test_token_that_a_holder_took_itself_is_no_new_beginning_whichever_way_it_hears_of_it():
+    """News often overtake the answer; all that is known of the workers would be asked for again each time."""
+    world = served()
+    node = world.leader()
+    zone = node.blocks.my_zones()[0]
+    known, since = dict(node.roster.workers), node.blocks.mine(zone).since
+    assert known
+    world.run(3)
+    world.filter = lambda source, target, path: "answer lost" if path == "/commit" else None
+    before = node.blocks.token(zone)
+    assert not node.blocks.raise_tokens([zone])
+    world.filter = lambda *_: None
+    node.follow()
+    assert node.blocks.token(zone) > before
+    assert node.blocks.mine(zone).since == since
+    assert node.roster.workers == known
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -287,3 +287,39 @@
             together = task["job"]["shape"] == "ensemble" and name.split("/")[0] == frond.split("/")[0]
             if (name == frond or together) and task["tide"] == "running":
                 task["ends"] = world.clock.now
+
+
+@pytest.mark.parametrize("how", ["all keys are read", "one key is read alone"])
+def test_block_that_was_anothers_for_a_while_begins_anew_though_its_holder_saw_nothing_of_that(how):
+    """It came back before the news did, so nothing of the time between came in: leases that others renewed meanwhile
+    were reckoned to have ended long ago, and all that ran there was started once more."""
+    world = served(machines=9, capacity=9)
+    world.submit("j-1", 9, shape="service", cpus=0.5)
+    assert world.run(10, lambda: len(world.running("j-1")) == 9)
+    name = next(n for n in world.node_names if n != world.leader_name())
+    node = world.nodes[name]
+    (zone,) = node.blocks.my_zones()
+    before = node.blocks.mine(zone)
+    world.cut_from_store = {name}
+    world.run(35)
+    assert world.leader().blocks.holder(zone) != name
+    # Its hold is renewed and the block granted to it again before it has followed.
+    world.filter = lambda source, target, path: "lost" if source == name and path.startswith("/follow") else None
+    node.mirror._read_at = world.clock.now
+    world.cut_from_store = set()
+    assert world.run(10, lambda: world.leader().blocks.holder(zone) == name)
+    if how == "all keys are read":
+        node.mirror.load()
+    else:
+        node.mirror.refresh(f"l/block/{zone}")
+    now = node.blocks.mine(zone)
+    assert now.token > before.token
+    assert now.since == world.clock.now
+    world.filter = lambda *_: None
+    node.follow()
+    world.clock.now += seconds(0.6)  # a round comes before any worker was heard again
+    node.holding.round()
+    assert node.book.settled == {}
+    world.run(30)
+    assert len(world.starts) == 9, "nothing was lost"
+    assert world.broken == []
