Lab: a machine answers nothing before it is up

Change: requests to a machine that is not up are refused, as PROTOCOL has it ('when a machine is up, its worker starts to report').

--- a/kelpjunction/lab/live.py
+++ b/kelpjunction/lab/live.py
@@ -110,7 +110,7 @@
 
     def address_of(self, worker: WorkerStandIn, number: int) -> str:
         def handle(method: str, path: str, body: dict) -> Reply:
-            if not worker.alive or worker.cut:
+            if not worker.up or worker.cut:
                 gevent.sleep(WORKER_TIMEOUT.total_seconds())  # a machine without power does not answer
             return worker.handle(method, path, body)
 
--- a/kelpjunction/lab/standins.py
+++ b/kelpjunction/lab/standins.py
@@ -170,12 +170,17 @@
         self.one_way: OneWay | None = None  # half a cut
         self.sick = False
         self.pace = 1.0  # of its clock: 0.9995 to 1.0005 as PROTOCOL allows
-        self.renewed = world.clock.now
+        self.renewed = self.began_at = world.clock.now
         self.node = 0
         self.reporting = False  # at most one report is in flight
         self.next_report = world.clock.now
         self.notice: timedelta | None = None
 
+    @property
+    def up(self) -> bool:
+        """Whether it has booted and not died: a worker's first session begins when its machine is up, not before."""
+        return self.alive and self.world.clock.now >= self.began_at
+
     def report(self) -> dict:
         self.sequence += 1
         left = None if self.notice is None else (self.notice - self.world.clock.now).total_seconds()
@@ -274,7 +279,7 @@
         name = f"n-{self.number:06d}"
         worker = WorkerStandIn(self.world, name, zone, spot)
         worker.address = self.world.address_of(worker, self.number)
-        worker.next_report = worker.renewed = ready
+        worker.next_report = worker.renewed = worker.began_at = ready
         self.machines[name] = (worker, self.world.clock.now)
         self.at[worker.address] = worker
         return worker
--- a/kelpjunction/lab/world.py
+++ b/kelpjunction/lab/world.py
@@ -238,7 +238,7 @@
         if address == CLOUD:
             return self.cloud.handle
         worker = self.cloud.at.get(address)
-        if worker is None or not worker.alive or worker.cut or worker.one_way is OneWay.DEAF:
+        if worker is None or not worker.up or worker.cut or worker.one_way is OneWay.DEAF:
             raise NoAnswer("nobody there")
 
         def carry_out(method: str, path: str, body: dict) -> Reply:
