--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -49,6 +49,7 @@
         ("write_rps = 100.0", "write_rps = 0", "write_rps"),
         ("txn_ops = 12", "txn_ops = 0", "txn_ops"),
         ("report_s = 2.0", "report_s = 0.0", "report_s"),
+        ("cancel_s = 40.0", "cancel_s = 15.0", "params.workers: cancel_s must be above lease_s"),
         ("rps = 4.0", "rps = 0.0", "rps"),
         ("cpus_max = 40.0", "cpus_max = 8.0", "red: cpus_max must be at least cpus"),
     ],
