--- a/kelpjunction/leadership/__init__.py
+++ b/kelpjunction/leadership/__init__.py
@@ -96,11 +96,11 @@
         """Tell the log when this node stops renewing leases, and when it does again."""
         if self._mirror.loaded and self.in_touch() is not self._touching:
             self._touching = not self._touching
-            grace = self.renewal.grace.total_seconds()
-            lost = (
-                f"no lease is renewed here: no news of the state service for {grace:.1f} s, and jobs may be cancelled"
-            )
-            log.info("%s", "leases are renewed here again" if self._touching else lost)
+            if self._touching:
+                log.info("leases are renewed here again")
+            else:
+                grace = self.renewal.grace.total_seconds()
+                log.info("no lease is renewed here: no news of the state service for %.1f s", grace)
 
     def informed(self) -> bool:
         """Whether the state service's news are fresh, so that what this node holds is likely still its own."""
