Lab: a scale run with hollow workers; stand-ins divided; rules as pure functions

Cause: nothing of ours shows what the service does at hundreds or thousands of workers on real processes; the lab's workers shared the run's process, and its checker looked at every task at every start. Change: lab scale FILE starts real controllers, the state service's stand-in with PROTOCOL's rates in a process of its own, and processes of hollow workers, each with its own connection, session, token and lease.

--- a/kelpjunction/cli/lab.py
+++ b/kelpjunction/cli/lab.py
@@ -151,6 +151,27 @@
     sys.exit(0 if well else 1)
 
 
+@lab.command()
+@click.argument("plan", type=click.Path(path_type=Path))
+@click.option("--json", "as_json", is_flag=True, help="Print the figures as JSON, without progress.")
+@click.option("--out", type=click.Path(path_type=Path), help="Write the figures as JSON into this file too.")
+@click.option("--logs", type=click.Path(path_type=Path, file_okay=False), help="Keep the controllers' logs here.")
+@_port
+def scale(plan: Path, as_json: bool, out: Path | None, logs: Path | None, port: int) -> None:
+    """Play PLAN (TOML): real controllers beside hundreds or thousands of hollow workers, all on loopback.
+
+    Exit code 1 if a rule was broken, a job did not end, or the run stopped
+    itself at a bound; 2 if the file is wrong or asks for too much.
+
+    \b
+    Example:
+      kelpjunction lab scale examples/scale.toml
+    """
+    from kelpjunction.lab.scale.command import play_plan
+
+    sys.exit(play_plan(plan, port, as_json, out, logs))
+
+
 def _tell(port: int, fields: dict | None) -> dict:
     """Ask the lab's control port; exit code 3 if no lab is up."""
     from kelpjunction.lab.live import CONTROL_PORT
--- a/kelpjunction/lab/account.py
+++ b/kelpjunction/lab/account.py
@@ -4,7 +4,7 @@
 from datetime import UTC, datetime
 
 from kelpjunction.clock import MILLISECOND
-from kelpjunction.lab.standins import StoreStandIn
+from kelpjunction.lab.store import StoreStandIn
 from kelpjunction.ledger.accounts import Amounts, held
 from kelpjunction.wire.users import job_from_fields
 
--- /dev/null
+++ b/kelpjunction/lab/cloud.py
@@ -0,0 +1,77 @@
+"""A stand-in for the cloud: one machine type, a few zones, a list that lags."""
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from kelpjunction.clock import seconds
+from kelpjunction.lab.worker import WorkerStandIn
+from kelpjunction.transport import Reply
+
+if TYPE_CHECKING:
+    from kelpjunction.lab.site import Site
+
+MACHINE_CPUS, MACHINE_MEMORY_GB = 8.0, 64.0
+BOOT_SPREAD = (0.6, 1.5)  # of the time a machine takes to boot, as PROTOCOL says
+
+
+class CloudStandIn:
+    """The cloud: one machine type, a few zones, a list that lags."""
+
+    def __init__(self, world: "Site", capacity: int) -> None:
+        self.world, self.capacity = world, capacity
+        self.machines: dict[str, tuple[WorkerStandIn, timedelta]] = {}
+        self.at: dict[str, WorkerStandIn] = {}  # all there ever were, by address
+        self.answers: dict[str, list[str]] = {}
+        self.number = 0
+        self.out = False
+        self.boot = seconds(20)
+        self.cpus, self.memory_gb = MACHINE_CPUS, MACHINE_MEMORY_GB
+        self.closed: set[str] = set()  # zones of which nothing is rented out
+
+    def add(self, zone: str, spot: bool, ready: timedelta) -> WorkerStandIn:
+        self.number += 1
+        name = f"n-{self.number:06d}"
+        worker = self.world.make_worker(name, zone, spot)
+        worker.address = self.world.address_of(worker, self.number)
+        worker.next_report = worker.renewed = worker.began_at = ready
+        self.machines[name] = (worker, self.world.clock.now)
+        self.at[worker.address] = worker
+        return worker
+
+    def _boot_time(self) -> timedelta:
+        return self.boot / self.world.speed * self.world.vary(BOOT_SPREAD)
+
+    def handle(self, method: str, path: str, body: dict) -> Reply:
+        if self.out:
+            return Reply(503, {"error": "trouble"})
+        now = self.world.clock.now
+        if path == "/catalog":
+            hull = {
+                "label": "box", "cpus": self.cpus, "accelerators": 0, "ram_gb": self.memory_gb, "local_gb": 50,
+                "fetch_gb_per_s": 1.0, "price": 1.0, "market_price": 0.4, "startup_s": 20,
+                "bays": list(self.world.zones),
+            }  # fmt: skip
+            return Reply(200, {"hulls": [hull]})
+        if path == "/rentals/return":
+            for name in body["holdfasts"]:
+                worker, _ = self.machines.pop(name, (None, None))
+                if worker is not None:
+                    worker.die()
+            return Reply(200, {})
+        if path == "/rentals":
+            if body["charter"] not in self.answers:
+                count = min(body["number"], self.capacity - len(self.machines))
+                if count <= 0 or body["bay"] in self.closed:
+                    return Reply(503, {"error": "no capacity"})
+                added = [self.add(body["bay"], body["driftwood"], now + self._boot_time()) for _ in range(count)]
+                self.answers[body["charter"]] = [w.name for w in added]
+            return Reply(200, {"holdfasts": self.answers[body["charter"]]})
+        listed = [
+            {
+                "ref": n, "address": w.address, "hull": "box", "bay": w.zone, "driftwood": w.spot,
+                "tide": "running" if w.next_report <= now else "starting", "held_s": (now - since).total_seconds(),
+            }
+            for n, (w, since) in self.machines.items()
+            if now - since > seconds(5)
+        ]  # fmt: skip
+        return Reply(200, {"holdfasts": listed, "has_next": False})
--- a/kelpjunction/lab/idle.py
+++ b/kelpjunction/lab/idle.py
@@ -11,10 +11,9 @@
 
 if TYPE_CHECKING:
     from kelpjunction.lab.site import Site
-    from kelpjunction.lab.standins import WorkerStandIn
+    from kelpjunction.lab.worker import WorkerStandIn
 
 LEFT_AFTER = timedelta(seconds=90)
-CPUS, MEMORY = 8.0, 64.0  # of the stand-ins' one type of machine
 
 
 class Idle:
@@ -43,7 +42,7 @@
         """Jobs of which a task, or the whole gang, waits while there is room for it."""
         placed = [(frond.partition("/")[0], worker) for frond, worker in site._live()]
         free = {
-            worker.name: [CPUS, MEMORY, worker]
+            worker.name: [site.cloud.cpus, site.cloud.memory_gb, worker]
             for worker, _ in site.cloud.machines.values()
             if worker.up and not (worker.cut or worker.sick or worker.one_way or worker.hung or worker.notice)
         }
--- a/kelpjunction/lab/live.py
+++ b/kelpjunction/lab/live.py
@@ -19,22 +19,21 @@
 import gevent
 import orjson
 import tomli_w
-from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
 from kelpjunction.clock import seconds
-from kelpjunction.lab.site import CLOUD_LIMITS, STORE_LIMITS, TEAMS, Refused, Site
-from kelpjunction.lab.standins import WorkerStandIn
+from kelpjunction.lab.node_settings import LabPlatform, NodePlace, node_settings
+from kelpjunction.lab.serving import HOST, Handle, Refused, ServedStore, serve
+from kelpjunction.lab.site import CLOUD_LIMITS, STORE_LIMITS, TEAMS, Site
+from kelpjunction.lab.worker import WorkerStandIn
 from kelpjunction.tickets.users import CANCEL_END, TICKETS_PATH
 from kelpjunction.transport import HttpTransport, NoAnswer, Reply
 from kelpjunction.wire.workers import CHECK_IN_PATH
 
-HOST = "127.0.0.1"
 STATE_PORT, CLOUD_PORT, CONTROL_PORT, GATEWAY_PORT = 379, 443, 70, 90  # above the lab's first port, as the nodes' are
 TICK = timedelta(milliseconds=100)
 USER_TIMEOUT = timedelta(seconds=5)
 WORKER_TIMEOUT = timedelta(seconds=4)
-REASONS = {200: "200 OK", 400: "400 Bad Request", 404: "404 Not Found", 409: "409 Conflict"}
 
 
 class LiveClock:
@@ -70,9 +69,9 @@
         self._transport = HttpTransport()
         self._folder = tempfile.TemporaryDirectory(prefix="kelpjunction-lab-")
         self._servers: list[WSGIServer] = []
-        self._changed = Event()
         self.processes: dict[str, subprocess.Popen | None] = dict.fromkeys(self.node_names)
-        self._serve(STATE_PORT, self._state)
+        self._served_store = ServedStore(self.store)
+        self._serve(STATE_PORT, self._served_store.handle)
         self._serve(CLOUD_PORT, self.cloud.handle)
         self._serve(CONTROL_PORT, self._control)
         for number in range(machines):
@@ -83,28 +82,9 @@
 
     # -- servers ----------------------------------------------------------------
 
-    def _serve(self, offset: int, handle) -> int:
-        """Serve `handle(method, path, body) -> Reply` on loopback; returns the port."""
-
-        def application(environ, start_response):
-            body = environ["wsgi.input"].read()
-            query = environ.get("QUERY_STRING")
-            path = environ["PATH_INFO"] + (f"?{query}" if query else "")
-            try:
-                reply = handle(environ["REQUEST_METHOD"], path, orjson.loads(body) if body else {})
-            except (Refused, KeyError, ValueError, TypeError) as error:
-                reply = Reply(400, {"error": str(error)})
-            answer = orjson.dumps(reply.fields)
-            status = REASONS.get(reply.status, f"{reply.status} Refused")
-            start_response(status, [("Content-Type", "application/json"), ("Content-Length", str(len(answer)))])
-            return [answer]
-
-        port = self._port + offset if offset else 0
-        try:
-            server = WSGIServer((HOST, port), application, log=None)
-            server.start()
-        except OSError as error:
-            raise Refused(f"port {port} is taken: another lab may be up; --port names another") from error
+    def _serve(self, offset: int, handle: Handle) -> int:
+        """Serve `handle` on loopback, at this offset or at any free port; returns the port."""
+        server = serve(handle, self._port + offset if offset else 0)
         self._servers.append(server)
         return server.server_port
 
@@ -122,21 +102,6 @@
             gevent.sleep(TICK.total_seconds())
             worker.step()
 
-    def _state(self, method: str, path: str, body: dict) -> Reply:
-        """The state service; a watch waits for news, as PROTOCOL says."""
-        reply = self.store.handle(method, path, body)
-        if not path.startswith("/follow"):
-            if method != "GET":
-                self._changed.set()
-                self._changed.clear()
-            return reply
-        wait = int(path.rpartition("hold_ms=")[2].partition("&")[0] or 0) / 1000
-        until = time.monotonic() + wait
-        while reply.status == 200 and not reply.fields["news"] and time.monotonic() < until:
-            self._changed.wait(max(0.0, until - time.monotonic()))
-            reply = self.store.handle(method, path, body)
-        return reply
-
     # -- nodes --------------------------------------------------------------------
 
     def _node_address(self, number: int, internal: bool = False) -> str:
@@ -144,41 +109,22 @@
 
     def settings(self, name: str) -> dict:
         """A node's settings file, as DEPLOY describes it."""
-        number = self.number_of(name)
-        zone = self.zones[number % len(self.zones)]
-        times = {f"{field}_s": getattr(self.times, field).total_seconds() for field in self.times.__slots__}
-        siblings = [
-            {
-                "node": f"holdfast-{n}",
-                "zone": self.zones[n % len(self.zones)],
-                "endpoint": self._node_address(n, internal=True),
-            }
-            for n in range(self.node_count)
-            if n != number
-        ]
-        teams = [
-            {"name": t.name, "cpus": t.cpus, "gpus": t.gpus, "cpus_max": t.cpus_max or 0.0, "gpus_max": 0.0}
-            for t in self.teams
+        places = [
+            NodePlace(
+                node,
+                self.zones[number % len(self.zones)],
+                self._node_address(number),
+                self._node_address(number, internal=True),
+            )
+            for number, node in enumerate(self.node_names)
         ]
-        state = {
-            "rps": STORE_LIMITS.rps,
-            "write_rps": STORE_LIMITS.write_rps,
-            "value_kb": STORE_LIMITS.value_bytes / 1024,
-            "txn_ops": STORE_LIMITS.txn_ops,
-        }
-        cloud = {"rps": CLOUD_LIMITS.rps, "list_lag_s": CLOUD_LIMITS.list_lag.total_seconds()}
-        return {
-            "node": name,
-            "zone": zone,
-            "listen": self._node_address(number),
-            "internal_addr": self._node_address(number, internal=True),
-            "siblings": siblings,
-            "services": {
-                "cloud": f"{HOST}:{self._port + CLOUD_PORT}",
-                "state": f"{HOST}:{self._port + STATE_PORT}",
-            },
-            "params": {"zones": list(self.zones), "teams": teams, "workers": times, "state": state, "cloud": cloud},
+        services = {
+            "cloud": f"{HOST}:{self._port + CLOUD_PORT}",
+            "state": f"{HOST}:{self._port + STATE_PORT}",
         }
+        lab = LabPlatform(self.zones, self.teams, self.times, STORE_LIMITS, CLOUD_LIMITS)
+        others = [place for place in places if place.name != name]
+        return node_settings(places[self.number_of(name)], others, services, lab)
 
     def start_node(self, name: str) -> None:
         """Start a node's process, unless it runs."""
@@ -318,8 +264,7 @@
         end = time.monotonic() + duration
         while time.monotonic() < end:
             self.store.expire()
-            self._changed.set()
-            self._changed.clear()
+            self._served_store.wake()
             if until is not None and until():
                 return True
             gevent.sleep(TICK.total_seconds())
--- /dev/null
+++ b/kelpjunction/lab/scale/command.py
@@ -0,0 +1,84 @@
+"""`lab scale`: read a plan, play it with live progress, tell the figures."""
+
+from collections.abc import Callable
+from contextlib import nullcontext
+from pathlib import Path
+
+import click
+import orjson
+import psutil
+from rich.console import Console
+from rich.live import Live
+from rich.table import Table
+
+from kelpjunction.lab.scale.measures import MB
+from kelpjunction.lab.scale.plan import ScaleError, load_plan
+from kelpjunction.lab.scale.run import ScaleRun, Stopped
+from kelpjunction.lab.serving import Refused
+
+WELL, NOT_WELL, WRONG = 0, 1, 2
+MOST_TOLD = 20  # broken rules and problems
+
+
+def play_plan(file: Path, port: int, as_json: bool, out: Path | None, logs: Path | None) -> int:
+    """Play a file; returns the exit code."""
+    try:
+        plan = load_plan(file)
+        plan.check_bounds(psutil.virtual_memory().total / MB)
+        if logs is not None:
+            logs.mkdir(parents=True, exist_ok=True)
+        live = nullcontext() if as_json else Live(_table("starting", {}), refresh_per_second=2)
+        run = ScaleRun(plan, port, logs, _shown_by(plan.title, live))
+    except (ScaleError, Refused) as error:
+        click.echo(f"kelpjunction: {file}: {error}", err=True)
+        return WRONG
+    try:
+        with live:
+            run.play()
+    except Stopped as stopped:
+        run.problems.append(f"stopped: {stopped}")
+    except KeyboardInterrupt:
+        run.problems.append("stopped by its user")
+    finally:
+        run.close()
+    _tell(run.report(), as_json, out)
+    return WELL if run.well else NOT_WELL
+
+
+def _shown_by(title: str, live: Live | nullcontext) -> Callable[[dict], None]:
+    if isinstance(live, Live):
+        return lambda status: live.update(_table(title, status))
+    return lambda status: None
+
+
+def _table(title: str, figures: dict) -> Table:
+    table = Table("", "", title=title, show_header=False)
+    for name, value in figures.items():
+        table.add_row(name, str(value))
+    return table
+
+
+def _tell(report: dict, as_json: bool, out: Path | None) -> None:
+    content = orjson.dumps(report, option=orjson.OPT_INDENT_2)
+    if out is not None:
+        out.write_bytes(content)
+    if as_json:
+        click.echo(content)
+        return
+    console = Console()
+    plain = {name: value for name, value in report.items() if not isinstance(value, dict | list)}
+    console.print(_table("the run", plain))
+    for title, rows in (("times, ms", report["times_ms"]), ("roles", report["roles"])):
+        columns = sorted({column for row in rows.values() for column in row})
+        table = Table("", *columns, title=title)
+        for name, row in rows.items():
+            table.add_row(name, *(str(row.get(column, "")) for column in columns))
+        console.print(table)
+    for what in ("broken", "problems", "given_up"):
+        for line in report[what][:MOST_TOLD]:
+            click.echo(f"{what.upper()}: {line}")
+    click.echo(
+        "no rule was broken, and all that was accepted is over"
+        if not report["broken"] + report["problems"]
+        else "not all went as it should"
+    )
--- /dev/null
+++ b/kelpjunction/lab/scale/state.py
@@ -0,0 +1,94 @@
+"""The state service of a scale run, in a process of its own: PROTOCOL's rates and refusals, a port for each controller.
+
+A controller is cut from it by refusing what comes in at that controller's
+port.  Orders come on standard input, figures go to standard output.
+"""
+
+import sys
+
+import gevent
+import orjson
+from gevent.fileobject import FileObjectPosix
+
+from kelpjunction.lab.live import TICK, LiveClock
+from kelpjunction.lab.serving import ServedStore, serve
+from kelpjunction.lab.store import StoreStandIn
+from kelpjunction.leadership import LEAD_KEY
+from kelpjunction.settings import StoreLimits
+from kelpjunction.transport import Reply
+
+TELL_EVERY_S = 0.5
+
+
+class StateProcess:
+    """The store, its ports, and who is cut from it."""
+
+    def __init__(self, ports: list[int], limits: StoreLimits) -> None:
+        self._store = StoreStandIn(LiveClock())
+        self._store.limits = limits
+        self._served = ServedStore(self._store)
+        self._cut: set[int] = set()
+        self._requests = 0
+        self._servers = [serve(self._door(number), port) for number, port in enumerate(ports)]
+
+    def _door(self, number: int):
+        def handle(method: str, path: str, body: dict) -> Reply:
+            self._requests += 1
+            if number in self._cut:
+                return Reply(503, {})
+            return self._served.handle(method, path, body)
+
+        return handle
+
+    def obey(self, fields: dict) -> None:
+        """An outage begins or ends, or a controller is cut off or let in again."""
+        if fields["do"] == "outage":
+            self._store.outage(fields["on"])
+            self._served.wake()
+        elif fields["on"]:
+            self._cut.add(fields["number"])
+        else:
+            self._cut.discard(fields["number"])
+
+    def tick_forever(self) -> None:
+        """End leases that were not renewed, and let watches see it."""
+        while True:
+            gevent.sleep(TICK.total_seconds())
+            self._store.expire()
+            self._served.wake()
+
+    def tell_forever(self) -> None:
+        """Write what was asked of the service and who leads."""
+        while True:
+            gevent.sleep(TELL_EVERY_S)
+            lead = self._store.data.get(LEAD_KEY)
+            figures = {
+                "changes": self._store.applied,
+                "requests": self._requests,
+                "refused": self._store.refused,
+                "keys": len(self._store.data),
+                "leader": lead[0]["node"] if lead else None,
+            }
+            sys.stdout.buffer.write(orjson.dumps(figures) + b"\n")
+            sys.stdout.buffer.flush()
+
+
+def main() -> None:
+    """Read the first line, which says the ports and rates, and then orders until there are no more."""
+    lines = FileObjectPosix(sys.stdin.fileno(), "rb", close=False)
+    first = orjson.loads(lines.readline())
+    process = StateProcess(first["ports"], StoreLimits(**first["limits"]))
+    gevent.joinall(
+        [gevent.spawn(loop) for loop in (process.tick_forever, process.tell_forever, lambda: _obey(process, lines))],
+        raise_error=True,
+        count=1,
+    )
+
+
+def _obey(process: StateProcess, lines: FileObjectPosix) -> None:
+    while line := lines.readline():
+        process.obey(orjson.loads(line))
+
+
+if __name__ == "__main__":
+    main()
--- a/kelpjunction/lab/scenario.py
+++ b/kelpjunction/lab/scenario.py
@@ -11,7 +11,8 @@
 import fastjsonschema
 import orjson
 
-from kelpjunction.lab.site import FAULTS, Refused, Site
+from kelpjunction.lab.serving import Refused
+from kelpjunction.lab.site import FAULTS, Site
 from kelpjunction.tickets.users import is_final
 from kelpjunction.wire import users
 
--- /dev/null
+++ b/kelpjunction/lab/serving.py
@@ -0,0 +1,76 @@
+"""Stand-ins over HTTP: a server for a `handle(method, path, body) -> Reply`, and the state service with its watches."""
+
+import time
+from collections.abc import Callable
+
+import orjson
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from kelpjunction.lab.store import StoreStandIn
+from kelpjunction.transport import Reply
+
+HOST = "127.0.0.1"
+REASONS = {200: "200 OK", 400: "400 Bad Request", 404: "404 Not Found", 409: "409 Conflict"}
+
+Handle = Callable[[str, str, dict], Reply]
+
+
+class Refused(Exception):
+    """A fault, a setting or a port that can't be; the text says why."""
+
+
+def application(handle: Handle) -> Callable:
+    """A WSGI application that answers in JSON; what `handle` can't make sense of is a 400."""
+
+    def answer(environ, start_response):
+        body = environ["wsgi.input"].read()
+        query = environ.get("QUERY_STRING")
+        path = environ["PATH_INFO"] + (f"?{query}" if query else "")
+        try:
+            reply = handle(environ["REQUEST_METHOD"], path, orjson.loads(body) if body else {})
+        except (Refused, KeyError, ValueError, TypeError) as error:
+            reply = Reply(400, {"error": str(error)})
+        content = orjson.dumps(reply.fields)
+        status = REASONS.get(reply.status, f"{reply.status} Refused")
+        start_response(status, [("Content-Type", "application/json"), ("Content-Length", str(len(content)))])
+        return [content]
+
+    return answer
+
+
+def serve(handle: Handle, port: int = 0, host: str = HOST, server_class: type[WSGIServer] = WSGIServer) -> WSGIServer:
+    """A started server on loopback; port 0 takes any that is free.  Raises `Refused` if the port is taken."""
+    try:
+        server = server_class((host, port), application(handle), log=None)
+        server.start()
+    except OSError as error:
+        raise Refused(f"port {port} is taken: another lab may be up; --port names another") from error
+    return server
+
+
+class ServedStore:
+    """The state service over HTTP: a watch waits for news, as PROTOCOL says."""
+
+    def __init__(self, store: StoreStandIn) -> None:
+        self.store = store
+        self._news = Event()
+
+    def handle(self, method: str, path: str, body: dict) -> Reply:
+        """Answer one request, a watch when there is news or its time is over."""
+        reply = self.store.handle(method, path, body)
+        if not path.startswith("/follow"):
+            if method != "GET":
+                self.wake()
+            return reply
+        wait = int(path.rpartition("hold_ms=")[2].partition("&")[0] or 0) / 1000
+        until = time.monotonic() + wait
+        while reply.status == 200 and not reply.fields["news"] and time.monotonic() < until:
+            self._news.wait(max(0.0, until - time.monotonic()))
+            reply = self.store.again(path)
+        return reply
+
+    def wake(self) -> None:
+        """Let every watch look for news."""
+        self._news.set()
+        self._news.clear()
--- a/kelpjunction/lab/site.py
+++ b/kelpjunction/lab/site.py
@@ -9,16 +9,20 @@
 
 from kelpjunction.clock import seconds
 from kelpjunction.lab.attendance import Attendance
+from kelpjunction.lab.cloud import CloudStandIn
 from kelpjunction.lab.idle import Idle
-from kelpjunction.lab.standins import CloudStandIn, StoreStandIn, WorkerStandIn
-from kelpjunction.settings import CloudLimits, StoreLimits, Team, WorkerTimes
+from kelpjunction.lab.rules import Standing, answer_violations, quota_violations, start_violations
+from kelpjunction.lab.serving import Refused
+from kelpjunction.lab.store import USUAL_LIMITS, StoreStandIn
+from kelpjunction.lab.worker import WorkerStandIn
+from kelpjunction.settings import CloudLimits, Team, WorkerTimes
 from kelpjunction.transport import NoAnswer
 from kelpjunction.wire.users import ABORT_END, JOBS_PATH
 
 GUEST = Team("guest", 0.0, 0.0, None, None)
 TEAMS = (Team("red", 16.0, 0.0, 40.0, None), Team("blue", 16.0, 0.0, None, None), GUEST)
 TIMES = WorkerTimes(seconds(2), seconds(15), seconds(30), seconds(5), seconds(40))
-STORE_LIMITS = StoreLimits(250.0, 100.0, 8192, 12)
+STORE_LIMITS = USUAL_LIMITS
 CLOUD_LIMITS = CloudLimits(4.0, seconds(5))
 FAULTS = ("kill", "kill-leader", "start", "freeze", "outage", "lose")
 NODE_FAULTS = ("kill", "kill-leader", "start", "freeze")
@@ -26,10 +30,6 @@
 RUN_SPREAD = (0.85, 1.15)  # of what a task's run is said to take
 
 
-class Refused(Exception):
-    """A fault or a setting that can't be; the text says why."""
-
-
 class Site:
     """The stand-ins, what users were told, and the rules, checked at every start and every answer.
 
@@ -39,6 +39,8 @@
     `varied`, run and boot times differ by the seed.
     """
 
+    reports_changes = False  # with reports at their times alone, traces can be read
+
     def __init__(
         self, clock, seed: int, zones: tuple[str, ...], teams: tuple[Team, ...], capacity: int, speed: float = 1.0
     ) -> None:
@@ -172,8 +174,11 @@
         """All machines of a zone die, with what is on them."""
         for worker, _ in self.cloud.machines.values():
             if worker.zone == zone:
-                worker.alive = False
-                worker.tasks.clear()
+                worker.die()
+
+    def make_worker(self, name: str, zone: str, spot: bool) -> WorkerStandIn:
+        """A machine's worker, which the cloud asks for when it rents the machine out."""
+        return WorkerStandIn(self, name, zone, spot)
 
     def address_of(self, worker: WorkerStandIn, number: int) -> str:
         """Where the worker of the machine of this number listens."""
@@ -247,10 +252,7 @@
         """Any answer that tells how a job stands, checked against what was told before."""
         state = answer["tide"]
         before = self.told.get(ref)
-        if state == "withdrawn" and ref not in self.asked_to_cancel:
-            self.broken.append(f"went_back: {ref} is called cancelled, which its user never asked for")
-        if before in ("done", "withdrawn") and state != before:
-            self.broken.append(f"went_back: {ref} {before} -> {state}")
+        self.broken += answer_violations(ref, state, before, ref in self.asked_to_cancel)
         if state == "done" and (missing := self._unfinished(ref)):
             self.broken.append(f"not_done: {missing}")
         if state in ("done", "withdrawn"):
@@ -301,19 +303,9 @@
         ref = frond.partition("/")[0]
         job = self.job(ref)
         self.starts.append(frond)
-        mates = [(f, w) for f, w in self._live() if f.startswith(ref + "/")]
-        others = [w.name for f, w in mates if f == frond]
-        if others:
-            self.broken.append(f"ran_twice: {frond} on {worker.name} while on {others}")
-        if worker.spot and not job.get("driftwood"):
-            self.broken.append(f"wrong_place: {frond} on spot {worker.name}")
-        if job.get("bay") not in (None, worker.zone):
-            self.broken.append(f"wrong_place: {frond} in {worker.zone}")
-        zones = [w.zone for _, w in mates]
-        if job.get("together") and any(z != worker.zone for z in zones):
-            self.broken.append(f"wrong_place: {frond} apart from its gang")
-        if job.get("apart") and zones.count(worker.zone) >= -(-job["fronds"] // 2):
-            self.broken.append(f"wrong_place: too many of {ref} in {worker.zone}")
+        mates = [Standing(f, w.name, w.zone) for f, w in self._live() if f.startswith(ref + "/")]
+        there = Standing(frond, worker.name, worker.zone)
+        self.broken += start_violations(job, there, worker.spot, mates)
         self._check_quota(job)
         self._check_cancelled(ref)
         if ref in self.told_cancelled:
@@ -324,14 +316,21 @@
         ends = None if job["shape"] == "service" else ready + run
         return {"tide": "pulling", "ready": ready, "ends": ends, "job": job}
 
+    def exited(self, worker: WorkerStandIn, frond: str, cause: str) -> None:
+        """A task has exited."""
+        if cause == "done":
+            self.finished.add(frond)
+
+    def cleared(self, worker: WorkerStandIn) -> None:
+        """All tasks of a worker are gone; what is where is read from the workers when it is asked for."""
+
     def _check_quota(self, job: dict) -> None:
         limit = next(t.cpus_max for t in self.teams if t.name == job["crew"])
         if limit is None:
             return
         owners = (self.job(f.partition("/")[0]) for f, _ in self._live())
         used = sum(owner["cpus"] for owner in owners if owner["crew"] == job["crew"])
-        if used + job["cpus"] > limit + 1e-6:
-            self.broken.append(f"quota: {job['crew']} uses {used + job['cpus']} of {limit}")
+        self.broken += quota_violations(job, used, limit)
 
     def _check_cancelled(self, ref: str) -> None:
         told = self.told_cancelled.get(ref)
--- a/kelpjunction/lab/world.py
+++ b/kelpjunction/lab/world.py
@@ -8,7 +8,7 @@
 import random
 from collections.abc import Callable, Iterable
 from contextlib import suppress
-from datetime import datetime, timedelta
+from datetime import UTC, datetime, timedelta
 from typing import NamedTuple
 
 import orjson
@@ -17,12 +17,13 @@
 from kelpjunction.daemon import Node
 from kelpjunction.http import PEER_PATH
 from kelpjunction.lab.site import CLOUD_LIMITS, GUEST, STORE_LIMITS, TEAMS, Site
-from kelpjunction.lab.standins import START, OneWay, WorkerStandIn
+from kelpjunction.lab.worker import OneWay, WorkerStandIn
 from kelpjunction.leadership import Reign
 from kelpjunction.settings import Operators, Platform, Sibling, StoreLimits, Team, WorkerTimes, load_operators
 from kelpjunction.transport import NoAnswer, Reply
 from kelpjunction.wire.users import ABORT_END, JOBS_PATH
 
+START = datetime(2026, 1, 1, tzinfo=UTC)
 STORE, CLOUD = "10.2.0.1:2379", "10.2.0.2:8443"
 WORKER_PATIENCE = 4.0  # seconds that a worker waits for the answer to its report
 
--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from kelpjunction.lab.standins import OneWay
+from kelpjunction.lab.worker import OneWay
 from kelpjunction.lab.world import STORE, World, seconds
 
 ODD = ({"crew": "nobody"}, {"cpus": 9.0}, {"fronds": 0}, {"shape": None}, {"ram_gb": True}, {"shape": "ensemble"})
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -7,7 +7,7 @@
 from kelpjunction.clock import seconds
 from kelpjunction.fleet.machines import MachineState
 from kelpjunction.jobs.book import Phase
-from kelpjunction.lab.standins import OneWay
+from kelpjunction.lab.worker import OneWay
 from kelpjunction.wire.messages import TaskId
 from kelpjunction.workers.contact import Contact, Reach, Word
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,7 +5,7 @@
 
 from kelpjunction.clock import seconds
 from kelpjunction.jobs.book import Phase
-from kelpjunction.lab.standins import OneWay
+from kelpjunction.lab.worker import OneWay
 from kelpjunction.lab.world import STORE, Weather, World
 from kelpjunction.settings import Team
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -9,7 +9,7 @@
 from traces import served, worker_of
 
 from kelpjunction.jobs.book import RUN_PREFIX, Phase, Placement
-from kelpjunction.lab.standins import OneWay
+from kelpjunction.lab.worker import OneWay
 from kelpjunction.lab.world import STORE, World, seconds
 from kelpjunction.transport import NoAnswer, Reply
 from kelpjunction.wire.messages import TaskId, Verb
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,165 @@
+"""A scale run: its smallest step on real processes, what it refuses, and what its checker notices."""
+
+import socket
+from pathlib import Path
+
+import orjson
+import pytest
+from click.testing import CliRunner
+
+from kelpjunction.cli import main
+from kelpjunction.lab.scale.checker import Checker
+from kelpjunction.lab.scale.messages import Event, EventKind
+from kelpjunction.lab.scale.plan import ScaleError, load_plan
+
+ROOT = Path(__file__).resolve().parent.parent
+TINY = ROOT / "tests" / "scale.toml"
+PLAN = """
+seconds = 5
+controllers = {count = 3}
+workers = {count = 20}
+[[load]]
+name = "sweep"
+shape = "array"
+tasks = 4
+run_s = 1
+"""
+
+
+def free_ports() -> int:
+    """The first of a stretch of ports that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return min(probe.getsockname()[1], 60000)
+
+
+def invoke(*args: str):
+    return CliRunner().invoke(main, ["lab", "scale", *args])
+
+
+def test_the_smallest_step_plays_on_real_processes(tmp_path):
+    out = tmp_path / "figures.json"
+    result = invoke(str(TINY), "--json", "--out", str(out), "--port", str(free_ports()))
+    figures = orjson.loads(out.read_bytes())
+    assert (figures["broken"], figures["problems"], figures["given_up"]) == ([], [], [])
+    assert result.exit_code == 0
+    assert figures["starts"] > 0 and figures["bytes_a_second_a_worker"] > 0
+    assert {role: use["processes"] for role, use in figures["roles"].items()} == {
+        "controllers": 4,
+        "state service": 1,
+        "workers": 1,
+    }  # fmt: skip  (the leader was killed, and is a process anew)
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "named"),
+    [
+        ("seconds = 5", "seconds = 0", "seconds must be bigger than 0"),
+        ("count = 20", "count = 0", "workers.count must be bigger than or equal to 1"),
+        ("count = 20", "count = 20, colour = 1", "workers must not contain {'colour'}"),
+        ("tasks = 4", "tasks = 4\ncpus = 99", "load[0].cpus"),
+        ('"array"', '"gang"\ncpus = 9\nmemory_gb = 2', "load[0].tasks is more than a team's limit"),
+        ('"array"', '"pile"', "load[0].shape must be one of"),
+        ("run_s = 1", "run_s = 1\n[[fault]]\nat_s = 9\ndo = 'outage'", "fault[0].at_s is after the end"),
+        ("count = 20", "count = 20, lease_s = 60", "workers.cancel_s must be above workers.lease_s"),
+    ],
+)
+def test_a_wrong_plan_is_refused_by_the_name_of_its_field(tmp_path, before, after, named):
+    file = tmp_path / "plan.toml"
+    file.write_text(PLAN.replace(before, after).replace("[[load]]", "teams = {cpus_max = 30}\n[[load]]", 1))
+    result = invoke(str(file))
+    assert result.exit_code == 2
+    assert named in result.stderr
+
+
+def test_what_is_too_large_for_the_machine_is_refused_before_anything_starts(tmp_path):
+    file = tmp_path / "plan.toml"
+    file.write_text(PLAN.replace("workers = {count = 20}", "workers = {count = 9000, processes = 100}"))
+    plan = load_plan(file)
+    with pytest.raises(ScaleError, match="more than half of this machine's 4000"):
+        plan.check_bounds(memory_mb=4000)
+    plan.check_bounds(memory_mb=40000)
+
+
+# -- the checker -------------------------------------------------------------------
+
+JOB = {"ref": "j-1", "crew": "red", "shape": "batch", "fronds": 2, "cpus": 2.0, "bay": None}
+
+
+def watched(**job) -> Checker:
+    """A checker that knows one job, two machines and two processes, which have told all up to 0."""
+    checker = Checker({"red": 3.0}, cancel_s=10.0)
+    for name in ("one", "two"):
+        checker.process_began(name, 0.0)
+    checker.machine_added("n-1", "a", False)
+    checker.machine_added("n-2", "b", False)
+    checker.submitted(JOB | job)
+    return checker
+
+
+def start(at: float, machine: str, frond: str = "j-1/0") -> Event:
+    return Event(at, EventKind.STARTED, machine, frond)
+
+
+def gone(at: float, machine: str, frond: str = "j-1/0", cause: str = "stopped") -> Event:
+    return Event(at, EventKind.EXITED, machine, frond, cause)
+
+
+def test_a_start_elsewhere_after_an_exit_that_is_told_later_breaks_nothing():
+    """Two processes tell at different times; what counts is when it happened."""
+    checker = watched()
+    checker.told_upto("two", 9.0, [start(5.0, "n-2")])
+    assert checker.starts == 0
+    checker.told_upto("one", 9.0, [start(1.0, "n-1"), gone(4.0, "n-1")])
+    assert (checker.broken, checker.starts, checker.running) == ([], 2, 1)
+
+
+def test_a_task_on_two_machines_and_a_team_above_its_limit_are_noticed():
+    checker = watched()
+    checker.told_upto("one", 9.0, [start(1.0, "n-1")])
+    checker.told_upto("two", 9.0, [start(2.0, "n-2")])
+    assert checker.broken == ["ran_twice: j-1/0 on n-2 while on ['n-1']", "quota: red uses 4.0 of 3.0"]
+
+
+def test_a_machine_that_lost_all_its_tasks_holds_none():
+    checker = watched()
+    checker.told_upto("one", 3.0, [start(1.0, "n-1"), Event(2.0, EventKind.CLEARED, "n-1")])
+    checker.told_upto("two", 9.0, [start(2.5, "n-2")])
+    checker.told_upto("one", 9.0, [])
+    assert (checker.broken, checker.running) == ([], 1)
+
+
+def test_what_a_cancelled_job_may_not_do_is_noticed():
+    checker = watched()
+    checker.asked_to_cancel("j-1")
+    checker.told_upto("one", 2.0, [start(1.0, "n-1")])
+    checker.answered(2.0, "j-1", 200, "withdrawn")
+    checker.told_upto("two", 11.0, [])
+    checker.told_upto("one", 11.0, [])
+    checker.check_cancelled(11.0)
+    assert checker.broken == []
+    checker.told_upto("two", 13.0, [])
+    checker.told_upto("one", 13.0, [start(12.5, "n-1", "j-1/1")])
+    checker.check_cancelled(13.0)
+    assert checker.broken == [
+        "quota: red uses 4.0 of 3.0", "ran_cancelled: j-1/1 started", "ran_cancelled: j-1 is still on n-1",
+    ]  # fmt: skip
+
+
+def test_answers_that_can_not_be_are_noticed():
+    checker = watched()
+    for at, ref, status, state in (
+        (1.0, "j-1", 201, "pending"), (2.0, "j-1", 200, "done"), (3.0, "j-1", 404, None),
+        (4.0, "j-1", 200, "running"), (5.0, "j-9", 200, "pending"), (6.0, "j-1", 422, None),
+    ):  # fmt: skip
+        checker.answered(at, ref, status, state)
+    for name in ("one", "two"):
+        checker.told_upto(name, 9.0, [])
+    assert checker.broken == [
+        "not_done: j-1 lacks 2 tasks",
+        "forgotten: j-1",
+        "went_back: j-1 done -> running",
+        "invented: j-9",
+        "forgotten: j-1 was accepted and is refused now",
+    ]
+    assert checker.unsettled() == ["j-1"]
