Placement: an index of free room; what is handed over is reserved once

Cause: each job that is placed looked at every machine, and a leader placed all that was handed over anew in each round. Change: placement.room files machines that are alike but for names and images in buckets, by zone, type and kind in the order of free CPUs; arrays and services are chosen from buckets, gangs from the machines that have room. The leader's reservations (jobs.reserving) are made once and freed when a task is started, handed back or cancelled. Measured: tests/test_room.py holds 400 drawn cases of arrays and services and 200 each of narrower choices, gangs and kept indexes against the placement that looks at every machine (tests/plain_placement.py): the same, tie by tie.

--- /dev/null
+++ b/benchmarks/placement.py
@@ -0,0 +1,177 @@
+"""What choosing machines costs as the fleet grows: `python benchmarks/placement.py [--against REVISION]`.
+
+Times placement on fleets of one machine type with tasks of several sizes on
+them, and a leader's rounds on the stand-ins, in milliseconds of processor
+time.  With `--against`, an earlier revision is timed the same way.  The last
+line is what a job of nine tasks costs on the largest fleet, as a multiple of
+what it costs on the smallest.
+"""
+
+import random
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from datetime import timedelta
+from pathlib import Path
+
+import click
+import orjson
+
+ROOT = Path(__file__).resolve().parent.parent
+SIZES = (500, 1000, 2125, 8500)
+ROUND_SIZES = (500, 1000, 2125)
+NINE = ("service of nine", "array of nine")
+REPEATS = 30
+TASK_SIZES = ((1.0, 2.0), (1.0, 4.0), (2.0, 4.0), (2.0, 8.0), (4.0, 8.0))  # CPUs, GB
+
+
+def milliseconds(call: Callable[[], object], repeats: int) -> float:
+    """Processor time of one of some calls; `call` undoes what it did."""
+    began = time.process_time()
+    for _ in range(repeats):
+        call()
+    return (time.process_time() - began) / repeats * 1e3
+
+
+def spec(shape: str, tasks: int, cpus: float = 1.0, memory: float = 2.0, **fields):
+    """A job."""
+    from kelpjunction.wire.users import parse_job
+
+    return parse_job(
+        {
+            "ref": "j-1", "stripe": "s", "crew": "red", "shape": shape, "urgency": "standard", "fronds": tasks,
+            "cpus": cpus, "accelerators": 0.0, "ram_gb": memory, "bundle": "img-1", "image_gb": 1.0,
+            "together": False, "apart": False, "driftwood": False, "expect_s": 10.0, "mark_s": 0.0, "stow_s": 0.0,
+        }
+        | fields
+    )  # fmt: skip
+
+
+def fleet(machines: int):
+    """Views of a fleet in three zones; on nine of ten machines tasks of several sizes leave a little room."""
+    from kelpjunction.placement import View
+    from kelpjunction.wire.messages import MachineType
+
+    source = random.Random(machines)
+    type_ = MachineType("box", 16, 0, 64, 40, 1.0, 1.0, 0.4, timedelta(seconds=30), ("a", "b", "c"))
+    views = []
+    for number in range(machines):
+        view = View(f"n-{number:06}", type_, "abc"[number % 3], False, 16.0, 0.0, 64.0)
+        view.images = {f"img-{source.randrange(20)}" for _ in range(4)}
+        if number % 10:
+            while view.cpus > source.choice((0, 1, 2, 3)):
+                cpus, memory = source.choice(TASK_SIZES)
+                if view.cpus < cpus or view.memory < memory:
+                    break
+                view.cpus, view.memory, view.tasks = view.cpus - cpus, view.memory - memory, view.tasks + 1
+        views.append(view)
+    return views
+
+
+def choice(views: list):
+    """What a job's machines are chosen from, and how to undo a choice."""
+    try:
+        from kelpjunction.placement import FreeRoom
+    except ImportError:
+        return views, lambda view: None
+    room = FreeRoom(views)
+    for view in views:
+        view.scratched = room.mark
+    return room.everything(), room.mark
+
+
+def placed(views: list) -> dict[str, float]:
+    """What one job costs, choosing and giving back."""
+    from kelpjunction.placement import place, place_gang
+
+    choose_from, mark = choice(views)
+
+    def undo(job, chosen: list) -> None:
+        for view in chosen:
+            view.give_back(job)
+            view.arriving.clear()
+            mark(view.name)
+
+    def one(job) -> Callable[[], None]:
+        return lambda: undo(job, place(job, job.tasks, choose_from, Counter(), Counter()))
+
+    gang = spec("ensemble", 512)
+    return {
+        "service of nine": milliseconds(one(spec("service", 9)), REPEATS),
+        "array of nine": milliseconds(one(spec("batch", 9)), REPEATS),
+        "gang of 512": milliseconds(lambda: undo(gang, place_gang(gang, choose_from) or []), 3),
+    }
+
+
+def rounds(machines: int) -> dict[str, float]:
+    """What a leader's rounds cost: a hundred services that come at once, and a hundred handed jobs with one change."""
+    from kelpjunction.lab.world import Team, World
+
+    world = World(machines=machines, capacity=machines, teams=(Team("red", 0.0, 0.0, None, None),))
+    world.run(4)
+    leader = world.leader()
+    leader.leading._every = timedelta()  # each of its rounds looks for room
+    for number in range(100):
+        world.submit(f"j-1{number:05}", 3, node=leader.platform.node, shape="service", urgency="prod", run_s=1e6)
+    leader.follow()
+    burst = milliseconds(leader.leading.round, 1)
+    for _ in range(5):
+        leader.follow()
+        leader.leading.round()
+    key = next(key for key in world.store.data if key.startswith("l/machine/"))
+    record, versions = leader.mirror.get(key).value, iter(range(10**9, 10**9 + 100))
+    # One more job waits, which finds no room, so that each round looks.
+    world.submit("j-200000", 4, node=leader.platform.node, cpus=8.0, ram_gb=64.0, hulls=["none"])
+    world.submit("j-200001", 20000, node=leader.platform.node, cpus=8.0, ram_gb=60.0, run_s=1e6)
+    leader.follow()
+
+    def changed_round() -> None:
+        leader.mirror.put(key, record, next(versions))
+        leader.leading.round()
+
+    changed_round()
+    return {"round, 100 new services": burst, "round, 100 handed jobs": milliseconds(changed_round, 10)}
+
+
+def figures() -> Iterator[tuple[int, dict[str, float]]]:
+    for size in SIZES:
+        yield size, placed(fleet(size)) | (rounds(size) if size in ROUND_SIZES else {})
+
+
+def earlier(revision: str) -> dict[str, dict[str, float]]:
+    """The same of an earlier revision's sources, with its own stand-ins."""
+    with tempfile.TemporaryDirectory() as folder:
+        archive = subprocess.run(
+            ["git", "archive", revision, "kelpjunction"], cwd=ROOT, check=True, capture_output=True
+        )
+        subprocess.run(["tar", "-x", "-C", folder], input=archive.stdout, check=True)
+        command = [sys.executable, __file__, "--json"]
+        done = subprocess.run(command, env={"PYTHONPATH": folder}, check=True, capture_output=True)
+        return orjson.loads(done.stdout)
+
+
+@click.command()
+@click.option("--against", metavar="REVISION", help="An earlier revision to compare with.")
+@click.option("--json", "as_json", is_flag=True, help="Print the figures as JSON, for the comparison.")
+def main(against: str | None, as_json: bool) -> None:
+    """Time placement and a leader's rounds at several sizes of fleet."""
+    today = dict(figures())
+    if as_json:
+        sys.stdout.write(orjson.dumps({str(size): costs for size, costs in today.items()}).decode())
+        return
+    before = earlier(against) if against else {}
+    for size, costs in today.items():
+        click.echo(f"{size} machines, ms")
+        for name, value in costs.items():
+            then = before.get(str(size), {}).get(name)
+            beside = "" if then is None else f"   {then:9.2f} before   {value / then:6.3f}"
+            click.echo(f"  {name:26} {value:9.3f}{beside}")
+    nine = [sum(today[size][name] for name in NINE) for size in (SIZES[-1], SIZES[0])]
+    click.echo(f"{SIZES[-1]}/{SIZES[0]}: {nine[0] / nine[1]:.2f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/kelpjunction/jobs/book.py
+++ b/kelpjunction/jobs/book.py
@@ -223,6 +223,7 @@
         self.failures = 0
         self.failed_on: set[str] = set()  # machines where tasks of this job failed
         self.noted_failures: set[str] = set()  # those of them in the book's index
+        self.changes = 0  # how often its chunks have changed
         self.noted_held = 0  # tasks placed or handed over, as the book's index counts them
         self._first_open = 0
         # The leader's own notes, rebuilt from snapshot and reports.
@@ -242,6 +243,7 @@
 
     def take_chunk(self, number: int, change: Callable[[Chunk], None]) -> None:
         """Change a chunk, and the counts with it."""
+        self.changes += 1
         chunk = self.chunks.setdefault(number, Chunk())
         before, metered = self._counted(number, chunk), chunk.meter()
         change(chunk)
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -9,6 +9,7 @@
 import logging
 from collections import Counter
 from collections.abc import Iterable
+from dataclasses import replace
 from datetime import timedelta
 
 from kelpjunction.blocks import Blocks, block_key
@@ -32,7 +33,7 @@
 )
 from kelpjunction.jobs.records import Records, run_key
 from kelpjunction.jobs.views import Views, able_for, cached, emptied, fitting, spread_of, stoppable, view_of
-from kelpjunction.placement import Victim, View, make_room, place, place_gang
+from kelpjunction.placement import Choice, Victim, View, make_room, place, place_gang
 from kelpjunction.queue import Rights, Waiting, in_order
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Transaction
@@ -361,7 +362,7 @@
         return sorted(order, key=turn)
 
     def _choose(
-        self, job: Job, ours: list[tuple[TaskId, Handed]], views: list[View]
+        self, job: Job, ours: list[tuple[TaskId, Handed]], views: Choice
     ) -> tuple[list[tuple[TaskId, View, int | None]], list[tuple[TaskId, Handed]]]:
         """Machines for a job's handed tasks; and the tasks that found none."""
         spec = job.spec
@@ -371,11 +372,10 @@
         starts: list[tuple[TaskId, View, int | None]] = []
         left: list[tuple[TaskId, Handed]] = []
         _, mates = spread_of(job)
-        by_name = {v.name: v for v in able} if any(h.machine is not None for _, h in ours) else {}
         plain: list[tuple[TaskId, Handed]] = []
         for task, handed in ours:
             # The leader named a machine that is held or kept here, as the job had stood beside its room for long.
-            view = by_name.get(handed.machine)
+            view = able.get(handed.machine)
             if view is not None and view.has_room(spec):
                 view.take(spec)
                 starts.append((task, view, handed.attempt))
@@ -384,23 +384,22 @@
         ours = plain
         for zone in sorted({h.zone for _, h in ours}):
             tasks = [(t, h) for t, h in ours if h.zone == zone]
-            there = [v for v in able if v.zone == zone]
+            there = able.within([zone])
             chosen = place(spec, len(tasks), there, Counter(), mates, self._fleet.budget(job))
             starts += [(task, view, None) for (task, _), view in zip(tasks, chosen, strict=False)]
             left += tasks[len(chosen) :]
         return starts, left
 
     def _choose_for_gang(
-        self, job: Job, ours: list[tuple[TaskId, Handed]], able: list[View], views: list[View]
+        self, job: Job, ours: list[tuple[TaskId, Handed]], able: Choice, views: Choice
     ) -> tuple[list[tuple[TaskId, View, int | None]], list[tuple[TaskId, Handed]]]:
         """A gang that spans blocks starts where the leader said; one that was handed whole, where it fits."""
         spec = job.spec
         named = [(t, h) for t, h in ours if h.machine is not None]
         if named:
-            by_name = {v.name: v for v in able}
             starts = []
             for task, handed in named:
-                view = by_name.get(handed.machine)
+                view = able.get(handed.machine)
                 if view is None or not view.has_room(spec):
                     return [], named
                 view.take(spec)
@@ -409,17 +408,15 @@
         if len(ours) < spec.tasks or job.placed_count():
             return [], []  # the rest of it is still being handed over, or leaving
         zones = {h.zone for _, h in ours}
-        chosen = place_gang(spec, [v for v in able if v.zone in zones])
+        chosen = place_gang(spec, able.within(zones))
         if chosen is not None:
             attempt = max(c.next_attempt for c in job.chunks.values())
             return [(task, view, attempt) for (task, _), view in zip(ours, chosen, strict=True)], []
         # Nothing below it in the order starts on the machines picked for it.
-        fit = fitting(spec, (v for v in able if v.zone in zones))
+        fit = fitting(spec, able.within(zones))
         held = place_gang(spec, [emptied(v, self._on(v)) for v in fit]) or []
-        names = {v.name for v in held}
-        for view in views:
-            if view.name in names:
-                view.hold_for(spec.ref)
+        for name in {v.name for v in held}:
+            views.get(name).hold_for(spec.ref)
         return [], [] if held else ours
 
     def _on(self, view: View) -> list[Placement]:
@@ -448,12 +445,17 @@
             txns.append(txn.put(run_key(job.spec.ref, number), record))
         return txns
 
-    def _views(self) -> list[View]:
-        """Machines of our blocks that can take work now."""
+    def _views(self) -> Choice:
+        """Machines of our blocks that can take work now; each block is chosen from by itself."""
         heard_since = self._clock.steady() - self._platform.workers.report * 2.5
-        ours = set(self._blocks.my_zones())
         workers = self._roster.workers
-        return [v for v in self._kept.fresh() if v.zone in ours and workers[v.name].contact.proved_at >= heard_since]
+
+        def ready(view: View) -> bool:
+            # A worker may be forgotten while this round waits for an answer.
+            worker = workers.get(view.name)
+            return worker is not None and worker.contact.proved_at >= heard_since
+
+        return replace(self._kept.fresh().within(self._blocks.my_zones()), ready=ready)
 
     def _view(self, name: str) -> View | None:
         """A machine that reports to us and is not about to be taken."""
@@ -466,7 +468,7 @@
 
     # -- making room ----------------------------------------------------------
 
-    def _make_room(self, roomless: list[tuple[Job, list[tuple[TaskId, Handed]]]], views: list[View]) -> bool:
+    def _make_room(self, roomless: list[tuple[Job, list[tuple[TaskId, Handed]]]], views: Choice) -> bool:
         """Stop others for those without room; give back to the leader what finds none here."""
         if not roomless:
             return False
@@ -501,9 +503,9 @@
             txns.append(self._guarded(job, zones).guard(key, chunk.version).put(key, record))
         return txns
 
-    def _victims(self, jobs: list[Job], views: list[View], now: timedelta) -> dict[str, list[Victim]]:
+    def _victims(self, jobs: list[Job], views: Choice, now: timedelta) -> dict[str, list[Victim]]:
         """What could be stopped for these jobs, by machine; room that is being freed is given to the views."""
-        for view in views:
+        for view in list(views):
             for placement in self._book.on(view.name).values():
                 if placement.phase is Phase.STOPPING:
                     view.give_back(placement.spec)
@@ -518,7 +520,7 @@
         self,
         job: Job,
         left: list[tuple[TaskId, Handed]],
-        views: list[View],
+        views: Choice,
         victims: dict[str, list[Victim]],
         told: list[Placement],
     ) -> bool:
@@ -526,7 +528,7 @@
         spec = job.spec
         _, mates = spread_of(job)
         for zone in sorted({h.zone for _, h in left}):
-            there = [v for v in views if v.zone == zone]
+            there = views.within([zone])
             count = sum(h.zone == zone for _, h in left)
             count -= len(place(spec, count, there, Counter(), mates, self._fleet.budget(job)))
             found = make_room(spec, count, there, victims, Counter(), self._rights)
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-from collections import Counter
 from collections.abc import Callable, Iterable
 from datetime import datetime, timedelta
 
@@ -20,9 +19,10 @@
 from kelpjunction.jobs.handing import HandOvers
 from kelpjunction.jobs.holding import weight_of
 from kelpjunction.jobs.records import PURPOSES, Records, run_key
+from kelpjunction.jobs.reserving import Reservations
 from kelpjunction.jobs.views import Rooms, Views, able_for, emptied, fitting, spread_of, stoppable, unreserved, view_of
 from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
-from kelpjunction.placement import Victim, View, allowed, make_room, place, place_gang, type_fits
+from kelpjunction.placement import Choice, Kind, Victim, View, allowed, make_room, place, place_gang, type_fits
 from kelpjunction.queue import Claim, Rights, Usage, Waiting, in_order, shares
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import StoreClient, Transaction
@@ -77,6 +77,7 @@
         self._rights = Rights(platform.teams, platform.aimed)
         self._clock = clock
         self._kept = Views(changes, fleet, lambda: fleet.machines, self._view)
+        self._reserved = Reservations(book, fleet, self._kept)
         self._reign: Reign
         self._counted_at = ZERO
         self._snapshot_at = ZERO
@@ -101,6 +102,7 @@
         self._reign = reign
         self._records.left_over = True
         self._handed_at = {}
+        self._reserved.clear()
         self._beside, self._reserving = {}, {}
         self._counted_at = self._snapshot_at = self._clock.steady()
         for job in self._book.jobs.values():
@@ -203,7 +205,7 @@
         topped = bool(held_back)
         kept_back: list[JobSpec] = []  # gangs for which their teams' limits are kept
         lacking: set[JobSpec] = set()  # what waits without room ahead of guests
-        left_over: dict[int, list[View]] = {0: views}
+        left_over: dict[int, Choice] = {0: views}
         full: set[tuple] = set()
         too_large: dict[tuple, int] = {}
         for ref in order:
@@ -266,7 +268,7 @@
         self._reserving[job.spec.ref] = (now if now - last > RESERVES_STILL else since, now)
 
     def _hand_beside(
-        self, waiting: list[Job], views: list[View], usage: Usage, kept_back: list[JobSpec], hands: HandOvers
+        self, waiting: list[Job], views: Choice, usage: Usage, kept_back: list[JobSpec], hands: HandOvers
     ) -> None:
         """Give a task, or the whole gang, of each job that has stood for long beside room that was not given to it.
 
@@ -307,7 +309,7 @@
                     hands.add(job, rows)
                     del self._beside[spec.ref]
 
-    def _named_rows(self, job: Job, views: list[View]) -> list[tuple[TaskId, Handed]]:
+    def _named_rows(self, job: Job, views: Choice) -> list[tuple[TaskId, Handed]]:
         """One task of a job, or a gang whole, on machines that have room for it; none if they do not do."""
         spec = job.spec
         if spec.shape is not Shape.GANG:
@@ -328,7 +330,7 @@
     def _hand_tasks(
         self,
         job: Job,
-        views: list[View],
+        views: Choice,
         usage: Usage,
         hands: HandOvers,
         full: set[tuple],
@@ -353,7 +355,7 @@
             tasks = job.waiting(room)
             zones, mates = spread_of(job)
             refused = self._refused_zones(tasks)
-            able = able_for(job, [v for v in views if v.zone not in refused] if refused else views)
+            able = able_for(job, views.outside(refused) if refused else views)
             chosen = place(spec, room, able, zones, mates, self._fleet.budget(job))
             if len(chosen) < room and not (refused or job.failed_on or spec.spread or spec.one_zone):
                 full.add(needs)
@@ -372,7 +374,7 @@
     def _hand_gang(
         self,
         job: Job,
-        views: list[View],
+        views: Choice,
         usage: Usage,
         hands: HandOvers,
         too_large: dict[tuple, int],
@@ -439,7 +441,7 @@
         attempt = max((c.next_attempt for c in job.chunks.values()), default=1)
         return [(TaskId(job.spec.ref, i), Handed(v.zone, v.name, attempt)) for i, v in enumerate(chosen)]
 
-    def _hold_for(self, job: Job, views: list[View], usage: Usage, hands: HandOvers, firmly: bool) -> None:
+    def _hold_for(self, job: Job, views: Choice, usage: Usage, hands: HandOvers, firmly: bool) -> None:
         """The gang tops the order: hand it to the block where it will fit, whose holder keeps machines for it.
 
         Nothing below it in the order goes to the machines picked for it.
@@ -450,10 +452,8 @@
         if picked is None:
             return
         self._reserves(job)
-        names = {v.name for v in picked}
-        for view in views:
-            if view.name in names:
-                view.hold_for(spec.ref, firmly)
+        for name in {v.name for v in picked}:
+            views.get(name).hold_for(spec.ref, firmly)
         if len({v.zone for v in picked}) == 1:
             usage.add(spec.team, spec.cpus, spec.gpus, spec.tasks)
             hands.add(job, self._gang_rows(job, picked))
@@ -469,7 +469,7 @@
         at = self._handed_at.get(first[0])
         return at is None or self._clock.steady() - at[1] > MOVE_GANG_AFTER
 
-    def _move_gang(self, job: Job, views: list[View]) -> list[Transaction]:
+    def _move_gang(self, job: Job, views: Choice) -> list[Transaction]:
         """Hand a stuck gang to another block if it fits there; else keep the machines where it waits."""
         spec = job.spec
         zones = {h.zone for _, h in job.pending()}
@@ -477,8 +477,8 @@
         if chosen is not None and {v.zone for v in chosen} != zones:
             return self._hand_anew(job, self._gang_rows(job, chosen))
         self._reserves(job)
-        for view in views:
-            if view.zone in zones and view.type.cpus >= spec.cpus and view.type.gpus >= spec.gpus:
+        for view in list(views.within(zones)):
+            if view.type.cpus >= spec.cpus and view.type.gpus >= spec.gpus:
                 view.hold_for(spec.ref, firmly=self._presses(job, self._clock.utc()))
         return []
 
@@ -515,20 +515,14 @@
     def _on(self, view: View) -> list:
         return list(self._book.on(view.name).values())
 
-    def _views(self) -> list[View]:
+    def _views(self) -> Choice:
         """All usable machines of blocks that have a holder, less what is on them or on its way to them."""
+        self._reserved.release(waived={ref for ref in self._book.gangs & self._book.handed if self._stuck(ref)})
         members = self._leadership.members
-        served = {zone for zone, grant in self._blocks.grants.items() if grant.holder in members}
-        views = [v for v in self._kept.fresh() if v.zone in served]
-        by_zone: dict[str, list[View]] = {}
-        for view in views:
-            by_zone.setdefault(view.zone, []).append(view)
-        for ref in self._book.handed:
-            job = self._book.jobs[ref]
-            if ref in self._book.gangs and self._stuck(ref):
-                continue
-            for zone, count in Counter(h.zone for _, h in job.pending()).items():
-                place(job.spec, count, by_zone.get(zone, ()), Counter(), Counter(), self._fleet.budget(job))
+        served = [zone for zone, grant in self._blocks.grants.items() if grant.holder in members]
+        views = self._kept.fresh().within(served)
+        self._reserved.lose_machines(views)
+        self._reserved.reserve(views)
         return views
 
     def _view(self, name: str) -> View | None:
@@ -537,10 +531,13 @@
         type_ = self._fleet.catalog.get(machine.type) if machine else None
         if type_ is None or not machine.usable:
             return None
-        return view_of(machine, type_, machine.images, self._book.load(name), self._fleet)
+        view = view_of(machine, type_, machine.images, self._book.load(name), self._fleet)
+        for spec in self._reserved.on(name):
+            view.take(spec)
+        return view
 
     def _hand_where_others_may_stop(
-        self, pressing: list[tuple[Job, int]], views: list[View], usage: Usage, hands: HandOvers
+        self, pressing: list[tuple[Job, int]], views: Choice, usage: Usage, hands: HandOvers
     ) -> None:
         """Hand jobs without room to blocks where others may be stopped for them, services first."""
         if not pressing:
@@ -557,7 +554,7 @@
             tasks = job.waiting(MOST_AT_ONCE)
             refused = self._refused_zones(tasks)
             room = usage.room(spec.team, spec.cpus, spec.gpus, min(count, len(tasks)))
-            able = [v for v in views if v.zone not in refused]
+            able = views.outside(refused)
             found = make_room(spec, room, able, victims, zones, self._rights)
             if found:
                 barren.clear()  # what was freed may be more than was taken
@@ -603,11 +600,15 @@
     return Claim(job.spec.ref, job.spec.cpus * left, job.spec.gpus * left)
 
 
-def _left_over(views: list[View], lacking: Iterable[JobSpec]) -> list[View]:
+def _left_over(views: Choice, lacking: Iterable[JobSpec]) -> Choice:
     """The machines that nobody ahead of a guest waits for.
 
     A guest's small tasks would fill each gap as it opens, so that the room
     for a larger one of others never came together.
     """
-    needs = {s.needs: s for s in lacking}.values()
-    return [v for v in views if not any(allowed(s, v.type, v.zone, v.spot) and type_fits(s, v.type) for s in needs)]
+    needs = list({s.needs: s for s in lacking}.values())
+
+    def wanted_by_nobody(kind: Kind) -> bool:
+        return not any(allowed(s, kind.type, kind.zone, kind.spot) and type_fits(s, kind.type) for s in needs)
+
+    return views.of_kinds(wanted_by_nobody)
--- a/kelpjunction/jobs/views.py
+++ b/kelpjunction/jobs/views.py
@@ -8,7 +8,7 @@
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.fleet.machines import Machine
 from kelpjunction.jobs.book import Book, Job, Load, Placement
-from kelpjunction.placement import SLACK, Victim, View, allowed, type_fits
+from kelpjunction.placement import SLACK, Choice, FreeRoom, Victim, View, allowed, type_fits
 from kelpjunction.queue import Rights
 from kelpjunction.wire.messages import JobSpec, MachineType, Shape
 
@@ -27,7 +27,7 @@
 
 
 class Views:
-    """Views that are kept from one round to the next.
+    """Views that are kept from one round to the next, with the index of the free room on them.
 
     Only those are made anew whose machine changed or that a round wrote to:
     making all of them for each round took a third of a busy leader's time.
@@ -40,26 +40,40 @@
         self._fleet = fleet
         self._names = names
         self._make = make
-        self._views: dict[str, View] = {}
+        self._room = FreeRoom()
         self._basis: tuple = ()
 
-    def fresh(self) -> Iterable[View]:
-        """The views of all machines that can take work, none with anything left of an earlier round."""
+    def spoil(self, name: str) -> None:
+        """Have a machine's view made anew: something changed that only the owner of these views knows of."""
+        self._stale.add(name)
+
+    def zone_of(self, name: str) -> str | None:
+        """The zone of a machine that could take work in the last round."""
+        view = self._room.view(name)
+        return None if view is None else view.zone
+
+    def fresh(self) -> Choice:
+        """All machines that can take work, none with anything left of an earlier round."""
         basis = (self._fleet.catalog, [spec.needs for spec in self._fleet.scarce])
         if basis != self._basis:
             # What is kept free for others on a machine hangs on these.
             self._basis = basis
-            self._views.clear()
+            self._room.clear()
             self._stale.update(self._names())
-        for name in self._stale:
+        stale = list(self._stale)
+        self._stale.clear()
+        for name in stale:
             view = self._make(name)
             if view is None:
-                self._views.pop(name, None)
+                self._room.drop(name)
             else:
-                view.scratched = self._stale
-                self._views[name] = view
-        self._stale.clear()
-        return self._views.values()
+                view.scratched = self._written_to
+                self._room.put(view)
+        return self._room.everything()
+
+    def _written_to(self, name: str) -> None:
+        self._stale.add(name)
+        self._room.mark(name)
 
 
 def stoppable(
@@ -115,11 +129,9 @@
     ]
 
 
-def able_for(job: Job, views: list[View]) -> list[View]:
+def able_for(job: Job, views: Choice) -> Choice:
     """The machines where no task of the job has failed, or all of them if it failed on each."""
-    if not job.failed_on:
-        return views
-    return [v for v in views if v.name not in job.failed_on] or views
+    return views.avoiding(job.failed_on) if job.failed_on else views
 
 
 def emptied(view: View, placements: Iterable[Placement]) -> View:
@@ -144,21 +156,17 @@
 
 
 @contextmanager
-def unreserved(
-    views: list[View], which: Callable[[View], bool] = lambda view: True, kept: bool = True
-) -> Iterator[None]:
+def unreserved(views: Choice, which: Callable[[View], bool] = lambda view: True, kept: bool = True) -> Iterator[None]:
     """What is held on `which` of these machines does not count meanwhile, nor what is `kept`; what is taken stays."""
     reserved = [(v, v.held_for, v.kept_cpus, v.kept_memory) for v in views if v.held_for or v.kept]
-    for view, held_for, *_ in reserved:
-        if held_for and which(view):
-            view.held_for = None
-        if kept:
-            view.kept_cpus = view.kept_memory = 0.0
+    for view, held_for, kept_cpus, kept_memory in reserved:
+        now_held = None if held_for and which(view) else held_for
+        view.reserve(now_held, *((0.0, 0.0) if kept else (kept_cpus, kept_memory)))
     try:
         yield
     finally:
         for view, *what in reserved:
-            view.held_for, view.kept_cpus, view.kept_memory = what
+            view.reserve(*what)
 
 
 class Rooms:
@@ -168,7 +176,7 @@
     a placement decide what this only looks for.
     """
 
-    def __init__(self, views: list[View]) -> None:
+    def __init__(self, views: Choice) -> None:
         self._views = views
         self._known: dict[tuple, int] = {}
 
@@ -176,14 +184,7 @@
         """Whether so many tasks at once have room."""
         needs = (*spec.needs, spec.one_zone)
         if needs not in self._known:
-            slots: Counter[str] = Counter()
-            for view in self._views:
-                if (
-                    view.cpus + SLACK >= spec.cpus
-                    and view.has_room(spec)
-                    and allowed(spec, view.type, view.zone, view.spot)
-                ):
-                    slots[view.zone] += view.capacity(spec) if tasks > 1 else 1
+            slots = self._views.slots(spec, whole=tasks > 1)
             self._known[needs] = max(slots.values(), default=0) if spec.one_zone else slots.total()
         return self._known[needs] >= tasks
 
--- /dev/null
+++ b/kelpjunction/placement/room.py
@@ -0,0 +1,279 @@
+"""An index of free room, so that choosing machines costs what differs between them and not how many there are.
+
+Machines that are alike in all that a choice looks at, but for their names and
+images, share a bucket.  Those of a zone, type and price kind are kept in the
+order of their free CPUs, so that full ones are not looked at.  Whoever writes
+to a view marks it, and it is filed anew before the next choice.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Container, Iterable, Iterator
+from dataclasses import dataclass, replace
+from itertools import count
+from typing import NamedTuple
+
+from sortedcontainers import SortedDict, SortedList
+
+from kelpjunction.placement.views import FETCHING_SHARE, SLACK, View, allowed, whole_fetch
+from kelpjunction.wire.messages import JobSpec, MachineType
+
+
+class Kind(NamedTuple):
+    """What a job's rules ask of a machine."""
+
+    zone: str
+    type: MachineType
+    spot: bool
+
+
+class _Alike(NamedTuple):
+    """What else a choice looks at: machines of a kind for which all of it is the same share a bucket."""
+
+    cpus: float
+    gpus: float
+    memory: float
+    kept: bool
+    kept_cpus: float
+    kept_memory: float
+    shunned: bool
+    held_for: str | None
+
+
+class Bucket:
+    """Machines that are alike but for their names and images."""
+
+    __slots__ = ("alike", "arriving", "images", "kind", "names", "order")
+
+    def __init__(self, kind: Kind, alike: _Alike, order: tuple[float, int]) -> None:
+        self.kind = kind
+        self.alike = alike
+        self.order = order  # among those of its kind: free CPUs, then as they came
+        self.names = SortedList()
+        self.images: dict[str, SortedList] = {}  # who has an image
+        self.arriving: dict[str, SortedList] = {}  # who fetches it
+
+    def fits(self, spec: JobSpec) -> bool:
+        """Whether one more task of the job has room on each of them; free CPUs were looked at already."""
+        alike = self.alike
+        guest = spec.gpus <= 0
+        return (
+            (alike.held_for is None or alike.held_for == spec.ref)
+            and alike.gpus + SLACK >= spec.gpus
+            and alike.memory + SLACK >= spec.memory + (alike.kept_memory if guest else 0.0)
+            and alike.cpus + SLACK >= spec.cpus + (alike.kept_cpus if guest else 0.0)
+        )
+
+    def runs(self, spec: JobSpec) -> Iterator[tuple[float, Iterator[str]]]:
+        """Its machines by what a fetch of the job's image would cost there, in seconds, each in the order of names."""
+        have = self.images.get(spec.image, ())
+        fetch = self.arriving.get(spec.image, ())
+        if have:
+            yield 0.0, iter(have)
+        whole = whole_fetch(spec, self.kind.type)
+        if fetch:
+            yield whole * FETCHING_SHARE, iter(fetch)
+        if len(self.names) > len(have) + len(fetch):
+            yield whole, self._neither(have, fetch)
+
+    def _neither(self, have: Container[str], fetch: Container[str]) -> Iterator[str]:
+        return (name for name in self.names if name not in have and name not in fetch)
+
+
+class _Filed(NamedTuple):
+    """Where a view was filed, and under which images."""
+
+    bucket: Bucket
+    images: frozenset[str]
+    arriving: frozenset[str]
+
+
+class FreeRoom:
+    """The index.  `put` and `drop` change which machines there are; `mark` says that one's view was written to."""
+
+    def __init__(self, views: Iterable[View] = ()) -> None:
+        self._views: dict[str, View] = {}
+        self._filed: dict[str, _Filed] = {}
+        self._buckets: dict[tuple[Kind, _Alike], Bucket] = {}
+        self._by_kind: dict[Kind, SortedDict] = {}
+        self._marked: set[str] = set()
+        self._serial = count()
+        for view in views:
+            self.put(view)
+
+    def put(self, view: View) -> None:
+        """A machine's view as it is now, in place of the one before."""
+        self._views[view.name] = view
+        self._marked.add(view.name)
+
+    def drop(self, name: str) -> None:
+        """A machine can take no work any more."""
+        if self._views.pop(name, None) is not None:
+            self._marked.add(name)
+
+    def mark(self, name: str) -> None:
+        """A view was written to."""
+        self._marked.add(name)
+
+    def clear(self) -> None:
+        """There are no machines."""
+        for name in list(self._views):
+            self.drop(name)
+
+    def views(self) -> Iterable[View]:
+        """All views, in no order."""
+        return self._views.values()
+
+    def view(self, name: str) -> View | None:
+        """A machine's view."""
+        return self._views.get(name)
+
+    def bucket_of(self, name: str) -> Bucket:
+        """Where a machine is filed."""
+        self._file_marked()
+        return self._filed[name].bucket
+
+    def kinds(self) -> Iterable[tuple[Kind, SortedDict]]:
+        """The buckets of each kind of machine, by their order."""
+        self._file_marked()
+        return self._by_kind.items()
+
+    def everything(self) -> "Choice":
+        """All machines to choose from."""
+        return Choice(self)
+
+    def _file_marked(self) -> None:
+        for name in self._marked:
+            self._take_out(name)
+            view = self._views.get(name)
+            if view is not None:
+                self._file(view)
+        self._marked.clear()
+
+    def _file(self, view: View) -> None:
+        kind = Kind(view.zone, view.type, view.spot)
+        alike = _Alike(
+            view.cpus, view.gpus, view.memory, view.kept, view.kept_cpus, view.kept_memory, view.shunned, view.held_for
+        )
+        bucket = self._buckets.get((kind, alike))
+        if bucket is None:
+            bucket = self._buckets[kind, alike] = Bucket(kind, alike, (alike.cpus, next(self._serial)))
+            self._by_kind.setdefault(kind, SortedDict())[bucket.order] = bucket
+        images = frozenset(view.images)
+        arriving = frozenset(view.arriving) - images
+        bucket.names.add(view.name)
+        for image in images:
+            bucket.images.setdefault(image, SortedList()).add(view.name)
+        for image in arriving:
+            bucket.arriving.setdefault(image, SortedList()).add(view.name)
+        self._filed[view.name] = _Filed(bucket, images, arriving)
+
+    def _take_out(self, name: str) -> None:
+        filed = self._filed.pop(name, None)
+        if filed is None:
+            return
+        bucket, images, arriving = filed
+        bucket.names.remove(name)
+        for by_image, those in ((bucket.images, images), (bucket.arriving, arriving)):
+            for image in those:
+                by_image[image].remove(name)
+                if not by_image[image]:
+                    del by_image[image]
+        if not bucket.names:
+            del self._buckets[bucket.kind, bucket.alike]
+            del self._by_kind[bucket.kind][bucket.order]
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The machines that a choice may be made from.  Narrowing it costs nothing, and choosing only what it looks at.
+
+    `ready` is asked of a machine when it would be chosen; with it, zones are
+    not compared by their free room, so one zone at a time is chosen from.
+    """
+
+    room: FreeRoom
+    zones: frozenset[str] | None = None
+    shut: frozenset[str] = frozenset()  # zones
+    without: frozenset[str] = frozenset()  # machines
+    kinds: Callable[[Kind], bool] | None = None
+    ready: Callable[[View], bool] | None = None
+
+    def within(self, zones: Iterable[str]) -> "Choice":
+        """Of these, the machines in some zones."""
+        zones = frozenset(zones)
+        return replace(self, zones=zones if self.zones is None else self.zones & zones)
+
+    def outside(self, zones: Iterable[str]) -> "Choice":
+        """Of these, the machines in all other zones."""
+        return replace(self, shut=self.shut | frozenset(zones))
+
+    def of_kinds(self, kinds: Callable[[Kind], bool]) -> "Choice":
+        """Of these, the machines of such kinds."""
+        before = self.kinds
+        return replace(self, kinds=kinds if before is None else lambda kind: before(kind) and kinds(kind))
+
+    def avoiding(self, names: Iterable[str]) -> "Choice":
+        """Of these, all others than those named; or all, if there are no others."""
+        names = frozenset(names)
+        others = replace(self, without=self.without | names)
+        return others if any(True for _ in others) else self
+
+    def __iter__(self) -> Iterator[View]:
+        for view in self.room.views():
+            if self._admits_kind(Kind(view.zone, view.type, view.spot)) and self.admits(view):
+                yield view
+
+    def get(self, name: str | None) -> View | None:
+        """The view of a machine, if it is one of these."""
+        view = self.room.view(name) if name is not None else None
+        if view is None or not self._admits_kind(Kind(view.zone, view.type, view.spot)):
+            return None
+        return view if self.admits(view) else None
+
+    def admits(self, view: View) -> bool:
+        """Whether a machine of a bucket is one of these."""
+        return view.name not in self.without and (self.ready is None or self.ready(view))
+
+    def _admits_kind(self, kind: Kind) -> bool:
+        return (
+            (self.zones is None or kind.zone in self.zones)
+            and kind.zone not in self.shut
+            and (self.kinds is None or self.kinds(kind))
+        )
+
+    def buckets(self, spec: JobSpec) -> Iterator[Bucket]:
+        """Where at least one task of the job has room now."""
+        least = (spec.cpus - SLACK,)
+        for kind, buckets in self.room.kinds():
+            if not buckets or not self._admits_kind(kind) or not allowed(spec, kind.type, kind.zone, kind.spot):
+                continue
+            for order in buckets.irange(minimum=least):
+                bucket = buckets[order]
+                if bucket.fits(spec):
+                    yield bucket
+
+    def usable(self, spec: JobSpec) -> list[View]:
+        """The machines where at least one task of the job could start now."""
+        views = (self.room.view(name) for bucket in self.buckets(spec) for name in bucket.names)
+        return [view for view in views if self.admits(view)]
+
+    def slots(self, spec: JobSpec, whole: bool) -> Counter[str]:
+        """How many more tasks of the job each zone has room for now; of each machine only one, unless `whole`.
+
+        Machines that are left out by name count as well.
+        """
+        slots: Counter[str] = Counter()
+        for bucket in self.buckets(spec):
+            each = self.room.view(bucket.names[0]).capacity(spec) if whole else 1
+            slots[bucket.kind.zone] += each * len(bucket.names)
+        return slots
+
+    def free_cpus(self, bucket: Bucket) -> float:
+        """What is free on the machines of a bucket together, those that are left out aside."""
+        out = sum(1 for name in self.without if name in bucket.names) if self.without else 0
+        return bucket.alike.cpus * (len(bucket.names) - out)
+
+
+def choice_of(views: "Iterable[View] | Choice") -> Choice:
+    """All of these machines to choose from, indexed for this once if they are not yet."""
+    return views if isinstance(views, Choice) else FreeRoom(views).everything()
--- /dev/null
+++ b/tests/plain_placement.py
@@ -0,0 +1,128 @@
+"""Placement that looks at every machine: the reference that the index of free room is held against."""
+
+import heapq
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from kelpjunction.placement import ANY_PRICE, SLACK, Budget, View, allowed, fetch_cost, zone_room
+from kelpjunction.wire.messages import JobSpec, Shape
+
+
+def _dear(spec: JobSpec, views: list[View], budget: Budget) -> set[str]:
+    """Which of these machines cost several times the least; each kind of machine is reckoned once."""
+    if budget is ANY_PRICE:
+        return set()
+    kinds = {(v.type.name, v.spot): v for v in views}
+    dear = {kind for kind, v in kinds.items() if budget.dear(spec, v.type, v.spot)}
+    # What is kept for accelerator work is paid anyway: its rest is given away.
+    return {v.name for v in views if not v.kept and (v.type.name, v.spot) in dear} if dear else set()
+
+
+def _usable(spec: JobSpec, views: Iterable[View]) -> list[View]:
+    """Machines where at least one task of the job could start now."""
+    # On a busy fleet the first comparison rules out nearly all.
+    cpus = spec.cpus - SLACK
+    return [
+        v
+        for v in views
+        if v.cpus >= cpus and v.held_for in (None, spec.ref) and v.fits(spec) and allowed(spec, v.type, v.zone, v.spot)
+    ]
+
+
+def place(
+    spec: JobSpec, count: int, views: Iterable[View], zones: Counter, mates: Counter, budget: Budget = ANY_PRICE
+) -> list[View]:
+    """Machines for up to `count` tasks of an array or service, one entry a task.
+
+    `zones` and `mates` count the job's tasks by zone and machine; both are
+    brought up to date, as are the views.
+    """
+    usable = _usable(spec, views)
+    dear = _dear(spec, usable, budget)
+    if budget.cheap_only:
+        usable = [v for v in usable if v.name not in dear]
+    if spec.shape is Shape.SERVICE:
+        return _spread_out(spec, count, usable, zones, mates, dear)
+    return _fill_up(spec, count, usable, zones, mates, dear)
+
+
+def _fill_up(
+    spec: JobSpec, count: int, usable: list[View], zones: Counter, mates: Counter, dear: set[str]
+) -> list[View]:
+    """An array: zone by zone, the one with most room first, each machine to the brim.
+
+    Few zones mean that few controllers write the job's records.
+    """
+    free: Counter = Counter()
+    for view in usable:
+        free[view.zone] += view.cpus
+    ranks = {zone: (zones[zone] == 0, -free[zone], zone) for zone in free}
+    chosen: list[View] = []
+    for view in sorted(
+        usable,
+        key=lambda v: (
+            v.shunned, v.name in dear, ranks[v.zone], round(fetch_cost(spec, v), 1), not v.spot, v.cpus, v.name
+        ),
+    ):  # fmt: skip
+        n = min(view.capacity(spec), count - len(chosen), zone_room(spec, zones, view.zone))
+        if n > 0:
+            view.take(spec, n)
+            zones[view.zone] += n
+            mates[view.name] += n
+            chosen += [view] * n
+        if len(chosen) >= count:
+            break
+    return chosen
+
+
+def _spread_out(
+    spec: JobSpec, count: int, usable: list[View], zones: Counter, mates: Counter, dear: set[str]
+) -> list[View]:
+    """A service: a lost machine or zone should cost few replicas, and a fetch costs more than the start may take.
+
+    Plain machines are taken evenly.  Boxes with accelerators are filled one
+    after the other: they are dear, and one that holds a single replica for
+    hours can't be returned.
+    """
+
+    def score(view: View) -> tuple:
+        n = mates[view.name]
+        free = view.gpus if view.type.gpus else -view.cpus
+        return (
+            (view.shunned, view.spot, n > 0),
+            (round(fetch_cost(spec, view), 1), view.name in dear, n, free, view.name),
+        )
+
+    pools = _by_zone(usable, score)
+    chosen: list[View] = []
+    while len(chosen) < count:
+        zone = _best_pool(pools, lambda z: zones[z], lambda z: zone_room(spec, zones, z) > 0)
+        if zone is None:
+            break
+        view = pools[zone][0][-1]
+        view.take(spec)
+        zones[zone] += 1
+        mates[view.name] += 1
+        chosen.append(view)
+        if view.fits(spec):
+            heapq.heapreplace(pools[zone], (*score(view), view))
+        else:
+            heapq.heappop(pools[zone])
+    return chosen
+
+
+def _by_zone(views: Iterable[View], score: Callable[[View], tuple[tuple, tuple]]) -> dict[str, list[tuple]]:
+    """A heap for each zone of (more important, less important, view): taking a view changes its score alone."""
+    pools: dict[str, list[tuple]] = {}
+    for view in views:
+        pools.setdefault(view.zone, []).append((*score(view), view))
+    for pool in pools.values():
+        heapq.heapify(pool)
+    return pools
+
+
+def _best_pool(pools: dict[str, list[tuple]], rank: Callable[[str], Any], open_: Callable[[str], bool]) -> str | None:
+    """The zone whose first machine is best; between the two parts of a score the zone's own rank counts."""
+    able = [z for z, pool in pools.items() if pool and open_(z)]
+    return min(able, key=lambda z: (pools[z][0][0], rank(z), pools[z][0][1]), default=None)
--- /dev/null
+++ b/tests/test_room.py
@@ -0,0 +1,204 @@
+"""The index of free room: it chooses what placement chose that looked at every machine, tie by tie."""
+
+from collections import Counter
+from datetime import timedelta
+
+import plain_placement as plain
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from kelpjunction.placement import ANY_PRICE, Budget, FreeRoom, View, place, place_gang
+from kelpjunction.wire.messages import JobSpec, MachineType
+from kelpjunction.wire.users import parse_job
+
+BOOT = timedelta(seconds=30)
+TYPES = (
+    MachineType("small", 8, 0, 32, 40, 1.0, 1.0, 0.4, BOOT, ("a", "b", "c")),
+    MachineType("slow", 8, 0, 64, 40, 0.25, 0.9, 0.3, BOOT, ("a", "b", "c")),
+    MachineType("large", 16, 0, 64, 40, 1.0, 9.0, 3.0, BOOT, ("a", "b")),
+    MachineType("gpu", 48, 4, 384, 100, 0.5, 12.0, 5.0, BOOT, ("a", "b")),
+)
+ZONES, IMAGES = ("a", "b", "c"), ("img-1", "img-2", "img-3")
+
+
+@st.composite
+def machines(draw) -> list[dict]:
+    """Fields of the views of some machines, many of them alike."""
+    found = []
+    for number in range(draw(st.integers(1, 16))):
+        type_ = draw(st.sampled_from(TYPES))
+        kept = draw(st.integers(0, 5)) == 0
+        found.append(
+            {
+                "name": f"n-{number:02}",
+                "type": type_,
+                "zone": draw(st.sampled_from(ZONES)),
+                "spot": draw(st.integers(0, 3)) == 0,
+                "cpus": type_.cpus - draw(st.integers(0, 4)) * 2,
+                "gpus": type_.gpus and type_.gpus - draw(st.integers(0, 2)),
+                "memory": type_.memory - draw(st.integers(0, 4)) * 8,
+                "images": draw(st.sets(st.sampled_from(IMAGES), max_size=2)),
+                "arriving": draw(st.sets(st.sampled_from(IMAGES), max_size=2)),
+                "shunned": draw(st.integers(0, 5)) == 0,
+                "held_for": draw(st.sampled_from((None, None, None, "j-1", "j-9"))),
+                "kept": kept,
+                "kept_cpus": 4.0 if kept else 0.0,
+                "kept_memory": 8.0 if kept else 0.0,
+            }
+        )
+    return found
+
+
+@st.composite
+def jobs(draw) -> JobSpec:
+    shape = draw(st.sampled_from(("batch", "service", "service", "ensemble")))
+    return parse_job(
+        {
+            "ref": draw(st.sampled_from(("j-1", "j-2"))), "stripe": "s", "crew": "red", "shape": shape,
+            "urgency": "standard", "fronds": draw(st.integers(1, 12)), "cpus": draw(st.sampled_from((1.0, 2.0, 4.0))),
+            "accelerators": draw(st.sampled_from((0.0, 0.0, 1.0))), "ram_gb": draw(st.sampled_from((1.0, 8.0))),
+            "bundle": draw(st.sampled_from(IMAGES)), "image_gb": draw(st.sampled_from((0.0, 0.5, 2.0))),
+            "hulls": draw(st.sampled_from((None, None, ["small", "gpu"]))),
+            "bay": draw(st.sampled_from((None, None, None, "a"))), "together": draw(st.booleans()),
+            "apart": draw(st.booleans()), "driftwood": draw(st.booleans()), "expect_s": 0.0, "mark_s": 0.0,
+            "stow_s": 0.0,
+        }
+    )  # fmt: skip
+
+
+budgets = st.sampled_from((ANY_PRICE, Budget(0.1, False), Budget(0.1, True), Budget(0.02, False), Budget(0.02, True)))
+asked = st.lists(
+    st.tuples(
+        jobs(),
+        st.integers(1, 12),
+        budgets,
+        st.dictionaries(st.sampled_from([f"n-{n:02}" for n in range(16)]), st.integers(1, 3), max_size=3),
+    ),
+    min_size=1,
+    max_size=5,
+)
+
+
+def fresh(fields: list[dict]) -> list[View]:
+    return [View(**f | {"images": set(f["images"]), "arriving": set(f["arriving"])}) for f in fields]
+
+
+def indexed(views: list[View]) -> FreeRoom:
+    room = FreeRoom(views)
+    for view in views:
+        view.scratched = room.mark
+    return room
+
+
+def state(views) -> list[tuple]:
+    return sorted((v.name, v.cpus, v.gpus, v.memory, v.tasks, sorted(v.arriving)) for v in views)
+
+
+@settings(max_examples=400, deadline=None)
+@given(machines(), asked)
+def test_arrays_and_services_go_where_a_look_at_every_machine_sends_them(fields, wanted):
+    """One index serves several jobs in turn, each of which changes the room that the next finds."""
+    looked_at, kept = fresh(fields), fresh(fields)
+    room = indexed(kept)
+    by_name = {v.name: v for v in kept}
+    for spec, count, budget, mates in wanted:
+        here = {name: n for name, n in mates.items() if name in by_name}
+        zones = Counter()
+        for name, n in here.items():
+            zones[by_name[name].zone] += n
+        told = [Counter(zones), Counter(here), Counter(zones), Counter(here)]
+        expected = plain.place(spec, count, looked_at, told[0], told[1], budget)
+        chosen = place(spec, count, room.everything(), told[2], told[3], budget)
+        assert [v.name for v in chosen] == [v.name for v in expected]
+        assert (told[2], told[3]) == (told[0], told[1])
+        assert state(kept) == state(looked_at)
+
+
+@settings(max_examples=200, deadline=None)
+@given(machines(), asked, st.sets(st.sampled_from([f"n-{n:02}" for n in range(16)])), st.sets(st.sampled_from(ZONES)))
+def test_a_narrower_choice_is_one_from_fewer_machines(fields, wanted, without, zones):
+    looked_at, kept = fresh(fields), fresh(fields)
+    room = indexed(kept)
+    for spec, count, budget, _ in wanted:
+        some = [v for v in looked_at if v.zone not in zones and v.type.name != "slow"]
+        some = [v for v in some if v.name not in without] or some
+        choice = room.everything().outside(zones).of_kinds(lambda kind: kind.type.name != "slow").avoiding(without)
+        assert sorted(v.name for v in choice) == sorted(v.name for v in some)
+        expected = plain.place(spec, count, some, Counter(), Counter(), budget)
+        chosen = place(spec, count, choice, Counter(), Counter(), budget)
+        assert [v.name for v in chosen] == [v.name for v in expected]
+
+
+@settings(max_examples=200, deadline=None)
+@given(machines(), st.lists(jobs(), min_size=1, max_size=4))
+def test_gangs_go_where_a_look_at_every_machine_sends_them(fields, wanted):
+    listed, kept = fresh(fields), fresh(fields)
+    room = indexed(kept)
+    for spec in wanted:
+        expected = place_gang(spec, listed)
+        chosen = place_gang(spec, room.everything())
+        assert (chosen and [v.name for v in chosen]) == (expected and [v.name for v in expected])
+        assert state(kept) == state(listed)
+
+
+changes = st.lists(
+    st.tuples(st.sampled_from(("take", "give back", "hold", "let go", "drop", "put")), st.integers(0, 15)), max_size=20
+)
+
+
+@settings(max_examples=200, deadline=None)
+@given(machines(), changes, jobs(), jobs())
+def test_the_index_after_any_changes_is_the_one_made_afresh(fields, changes, other, spec):
+    views = fresh(fields)
+    room, there = indexed(views), {v.name: v for v in views}
+    for what, number in changes:
+        view = views[number % len(views)]
+        if what == "drop":
+            room.drop(view.name)
+            there.pop(view.name, None)
+        elif what == "put":
+            room.put(view)
+            there[view.name] = view
+        elif what == "take":
+            view.take(other)
+        elif what == "give back":
+            view.give_back(other)
+        else:
+            view.reserve("j-7" if what == "hold" else None, view.kept_cpus, view.kept_memory)
+        list(room.everything().buckets(spec))
+    anew = FreeRoom(there.values())
+    kept_buckets, made_buckets = (
+        {(b.kind, b.alike): (list(b.names), b.images, b.arriving) for b in r.everything().buckets(spec)}
+        for r in (room, anew)
+    )
+    assert kept_buckets == made_buckets
+
+
+def test_full_machines_are_not_looked_at():
+    """A round on a full fleet once looked at each of its machines for each job."""
+    full = [View(f"n-{n:04}", TYPES[0], "a", False, 0.0, 0.0, 0.0) for n in range(500)]
+    room = FreeRoom([*full, View("n-9999", TYPES[0], "a", False, 8.0, 0.0, 32.0)])
+    spec = parse_job(
+        {
+            "ref": "j-1", "stripe": "s", "crew": "red", "shape": "batch", "urgency": "standard", "fronds": 4,
+            "cpus": 2.0, "accelerators": 0.0, "ram_gb": 4.0, "bundle": "img", "image_gb": 2.0, "together": False,
+            "apart": False, "driftwood": False, "expect_s": 0.0, "mark_s": 0.0, "stow_s": 0.0,
+        }
+    )  # fmt: skip
+    assert [list(b.names) for b in room.everything().buckets(spec)] == [["n-9999"]]
+
+
+@pytest.mark.parametrize("shape", ["batch", "service"])
+def test_a_machine_that_is_not_ready_is_passed_over_when_its_turn_comes(shape):
+    views = [View(f"n-{n}", TYPES[0], "a", False, 8.0, 0.0, 32.0) for n in range(3)]
+    choice = indexed(views).everything()
+    choice = choice.__class__(choice.room, ready=lambda view: view.name != "n-0")
+    spec = parse_job(
+        {
+            "ref": "j-1", "stripe": "s", "crew": "red", "shape": shape, "urgency": "standard", "fronds": 4,
+            "cpus": 8.0, "accelerators": 0.0, "ram_gb": 4.0, "bundle": "img", "image_gb": 2.0, "together": False,
+            "apart": False, "driftwood": False, "expect_s": 0.0, "mark_s": 0.0, "stow_s": 0.0,
+        }
+    )  # fmt: skip
+    assert [v.name for v in place(spec, 4, choice, Counter(), Counter())] == ["n-1", "n-2"]
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -9,6 +9,7 @@
 from kelpjunction.changes import Changes
 from kelpjunction.jobs.book import Book
 from kelpjunction.lab.world import World, seconds
+from kelpjunction.placement import place
 
 
 def indexes(book: Book) -> dict:
@@ -61,6 +62,25 @@
     return book
 
 
+def check_reservations(node) -> None:
+    """The leader has reserved room for all that is handed over and not started, once each, unless there is none."""
+    leading = node.leading
+    views = leading._views()
+    stuck = {ref for ref in node.book.gangs & node.book.handed if leading._stuck(ref)}
+    pending = {
+        task: (node.book.jobs[ref], handed.zone)
+        for ref in node.book.handed - stuck
+        for task, handed in node.book.jobs[ref].pending()
+    }
+    reserved = leading._reserved.machines()
+    assert reserved.keys() <= pending.keys(), "room is reserved for what is not under way any more"
+    assert all(views.get(machine).zone == pending[task][1] for task, machine in reserved.items())
+    for task in pending.keys() - reserved.keys():
+        job, zone = pending[task]
+        budget = leading._fleet.budget(job)
+        assert place(job.spec, 1, views.within([zone]), Counter(), Counter(), budget) == [], "there is room for it"
+
+
 def check_indexes(world: World) -> None:
     for node in world.nodes.values():
         if node is not None:
@@ -69,6 +89,8 @@
             assert indexes(node.book) == reckoned_afresh(node.book)
             for kept, made in (kept_views(node.holding, node), kept_views(node.leading, node)):
                 assert kept == made, "a machine changed and its view did not"
+            if node.leadership.reign is not None:
+                check_reservations(node)
 
 
 @pytest.mark.parametrize("seed", range(12))
