Placement: groups tell their machines in order, so that only what may come next is looked at

Change: the buckets of a kind form a group, which tells its machines lazily in the order of the score. A gang is refused before any machine is looked at where the room of all buckets is too small for it.

--- a/kelpjunction/jobs/views.py
+++ b/kelpjunction/jobs/views.py
@@ -158,7 +158,7 @@
 @contextmanager
 def unreserved(views: Choice, which: Callable[[View], bool] = lambda view: True, kept: bool = True) -> Iterator[None]:
     """What is held on `which` of these machines does not count meanwhile, nor what is `kept`; what is taken stays."""
-    reserved = [(v, v.held_for, v.kept_cpus, v.kept_memory) for v in views if v.held_for or v.kept]
+    reserved = [(v, v.held_for, v.kept_cpus, v.kept_memory) for v in views.reserved()]
     for view, held_for, kept_cpus, kept_memory in reserved:
         now_held = None if held_for and which(view) else held_for
         view.reserve(now_held, *((0.0, 0.0) if kept else (kept_cpus, kept_memory)))
--- a/kelpjunction/placement/gangs.py
+++ b/kelpjunction/placement/gangs.py
@@ -11,7 +11,10 @@
 
 def place_gang(spec: JobSpec, views: Iterable[View]) -> list[View] | None:
     """Machines for a whole gang, one entry a task, or None if it does not fit."""
-    usable = choice_of(views).usable(spec)
+    choice = choice_of(views)
+    if choice.slots(spec, whole=True).total() < spec.tasks:
+        return None  # nearly always on a busy fleet, and no machine was looked at
+    usable = choice.usable(spec)
     by_zone: dict[str, list[View]] = {}
     for view in usable:
         by_zone.setdefault(view.zone, []).append(view)
@@ -33,13 +36,16 @@
     """Greedy: the machines that take most first; then swaps to use fewer."""
     limit = -(-spec.tasks // 2) if spec.spread else spec.tasks
     room = {v.name: v.capacity(spec) for v in pool}
+    if sum(room.values()) < spec.tasks:
+        return None
+    prices = {kind: slot_price(spec, *kind) for kind in {(v.type, v.spot) for v in pool}}
     order = sorted(
         pool,
         key=lambda v: (
             v.shunned,
             -min(room[v.name], spec.tasks),
             fetch_cost(spec, v),
-            slot_price(spec, v.type, v.spot),
+            prices[v.type, v.spot],
             v.name,
         ),
     )
@@ -52,6 +58,8 @@
             plan[view.name] = n
             zones[view.zone] += n
             left -= n
+        if not left:
+            break
     if left > 0:
         return None
     by_name = {v.name: v for v in pool}
@@ -61,22 +69,18 @@
 
 def _swap(spec: JobSpec, plan: dict[str, int], by_name: dict[str, View], room: dict[str, int]) -> None:
     """Move a machine's tasks to one outside the plan that is better for all of them."""
+    costs = {name: (v.shunned, fetch_cost(spec, v), room[name]) for name, v in by_name.items()}
+    # The cheapest first, so that the first that does is the best.
+    order = sorted(by_name, key=lambda name: (costs[name], name))
     for name in sorted(plan, key=lambda n: plan[n]):
-        count = plan[name]
-        here = by_name[name]
-        better = [
-            v
-            for v in by_name.values()
-            if v.name not in plan
-            and v.zone == here.zone
-            and room[v.name] >= count
-            and (v.shunned, fetch_cost(spec, v), v.capacity(spec))
-            < (here.shunned, fetch_cost(spec, here), here.capacity(spec))
-        ]
-        if better:
-            best = min(better, key=lambda v: (v.shunned, fetch_cost(spec, v), v.capacity(spec), v.name))
-            del plan[name]
-            plan[best.name] = count
+        count, zone = plan[name], by_name[name].zone
+        for other in order:
+            if costs[other] >= costs[name]:
+                break
+            if other not in plan and by_name[other].zone == zone and room[other] >= count:
+                del plan[name]
+                plan[other] = count
+                break
 
 
 def _gang_cost(spec: JobSpec, plan: dict[View, int]) -> tuple:
--- a/kelpjunction/placement/room.py
+++ b/kelpjunction/placement/room.py
@@ -7,14 +7,14 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Container, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, replace
 from itertools import count
 from typing import NamedTuple
 
 from sortedcontainers import SortedDict, SortedList
 
-from kelpjunction.placement.views import FETCHING_SHARE, SLACK, View, allowed, whole_fetch
+from kelpjunction.placement.views import SLACK, View, allowed
 from kelpjunction.wire.messages import JobSpec, MachineType
 
 
@@ -63,19 +63,21 @@
             and alike.cpus + SLACK >= spec.cpus + (alike.kept_cpus if guest else 0.0)
         )
 
-    def runs(self, spec: JobSpec) -> Iterator[tuple[float, Iterator[str]]]:
-        """Its machines by what a fetch of the job's image would cost there, in seconds, each in the order of names."""
-        have = self.images.get(spec.image, ())
-        fetch = self.arriving.get(spec.image, ())
-        if have:
-            yield 0.0, iter(have)
-        whole = whole_fetch(spec, self.kind.type)
-        if fetch:
-            yield whole * FETCHING_SHARE, iter(fetch)
-        if len(self.names) > len(have) + len(fetch):
-            yield whole, self._neither(have, fetch)
-
-    def _neither(self, have: Container[str], fetch: Container[str]) -> Iterator[str]:
+    def having(self, image: str) -> Iterable[str]:
+        """Who has an image, by name."""
+        return self.images.get(image, ())
+
+    def fetching(self, image: str) -> Iterable[str]:
+        """Who fetches it, by name."""
+        return self.arriving.get(image, ())
+
+    def without(self, image: str) -> Iterable[str]:
+        """Who neither has nor fetches it, by name."""
+        have, fetch = self.images.get(image, ()), self.arriving.get(image, ())
+        if not have and not fetch:
+            return self.names
+        if len(have) + len(fetch) == len(self.names):
+            return ()
         return (name for name in self.names if name not in have and name not in fetch)
 
 
@@ -241,16 +243,30 @@
             and (self.kinds is None or self.kinds(kind))
         )
 
-    def buckets(self, spec: JobSpec) -> Iterator[Bucket]:
-        """Where at least one task of the job has room now."""
+    def by_kind(self, spec: JobSpec) -> Iterator[tuple[Kind, list[Bucket]]]:
+        """Where at least one task of the job has room now, of each kind those with least free CPUs first."""
         least = (spec.cpus - SLACK,)
         for kind, buckets in self.room.kinds():
-            if not buckets or not self._admits_kind(kind) or not allowed(spec, kind.type, kind.zone, kind.spot):
-                continue
-            for order in buckets.irange(minimum=least):
-                bucket = buckets[order]
-                if bucket.fits(spec):
-                    yield bucket
+            if buckets and self._admits_kind(kind) and allowed(spec, kind.type, kind.zone, kind.spot):
+                fitting = [b for order in buckets.irange(minimum=least) if (b := buckets[order]).fits(spec)]
+                if fitting:
+                    yield kind, fitting
+
+    def buckets(self, spec: JobSpec) -> Iterator[Bucket]:
+        """Where at least one task of the job has room now."""
+        return (bucket for _, buckets in self.by_kind(spec) for bucket in buckets)
+
+    def reserved(self) -> list[View]:
+        """The machines where something is held or kept for others."""
+        names = [
+            name
+            for kind, buckets in self.room.kinds()
+            if self._admits_kind(kind)
+            for bucket in buckets.values()
+            if bucket.alike.held_for or bucket.alike.kept
+            for name in bucket.names
+        ]
+        return [view for name in names if self.admits(view := self.room.view(name))]
 
     def usable(self, spec: JobSpec) -> list[View]:
         """The machines where at least one task of the job could start now."""
--- a/kelpjunction/placement/tasks.py
+++ b/kelpjunction/placement/tasks.py
@@ -1,13 +1,18 @@
-"""Machines for the tasks of arrays and services, one by one."""
+"""Machines for the tasks of arrays and services, one by one.
+
+Machines are taken from a few groups, each of which tells its machines in the
+order of the score, so that only those are looked at that may come next.
+"""
 
 import heapq
 from collections import Counter
-from collections.abc import Iterable, Iterator
-from typing import NamedTuple
+from collections.abc import Callable, Iterable, Iterator
+from itertools import groupby
+from typing import Any, NamedTuple
 
 from kelpjunction.placement.prices import ANY_PRICE, Budget
-from kelpjunction.placement.room import Bucket, Choice, choice_of
-from kelpjunction.placement.views import View, fetch_cost, zone_room
+from kelpjunction.placement.room import Bucket, Choice, Kind, choice_of
+from kelpjunction.placement.views import FETCHING_SHARE, View, fetch_cost, whole_fetch, zone_room
 from kelpjunction.wire.messages import JobSpec, Shape
 
 
@@ -25,65 +30,91 @@
     brought up to date, as are the views.
     """
     choice = choice_of(views)
-    usable = list(_affordable(spec, choice, budget))
+    groups = _groups(spec, choice, budget)
     if spec.shape is Shape.SERVICE:
-        return _Spread(spec, choice, usable, zones, mates).choose(count)
-    return _fill_up(spec, count, choice, usable, zones, mates)
+        return _Spread(spec, choice, groups, zones, mates).choose(count)
+    return _fill_up(spec, count, choice, groups, zones, mates)
 
 
-class _Usable(NamedTuple):
-    """A bucket with room for the job, and whether room there costs several times the least."""
+class _Group(NamedTuple):
+    """Buckets with room for a job, those with least free CPUs first, and what the order of a choice sees in all."""
 
-    bucket: Bucket
-    dear: bool
+    kind: Kind
+    shunned: bool
+    dear: bool  # room here costs several times the least
+    buckets: list[Bucket]
 
 
-def _affordable(spec: JobSpec, choice: Choice, budget: Budget) -> Iterator[_Usable]:
-    known: dict[tuple[str, bool], bool] = {}
-    for bucket in choice.buckets(spec):
-        _, type_, spot = bucket.kind
-        dear = False
-        # What is kept for accelerator work is paid anyway: its rest is given away.
-        if budget is not ANY_PRICE and not bucket.alike.kept:
-            if (type_.name, spot) not in known:
-                known[type_.name, spot] = budget.dear(spec, type_, spot)
-            dear = known[type_.name, spot]
-        if not (dear and budget.cheap_only):
-            yield _Usable(bucket, dear)
+def _groups(spec: JobSpec, choice: Choice, budget: Budget) -> list[_Group]:
+    """Where the job may go now."""
+    groups: list[_Group] = []
+    for kind, buckets in choice.by_kind(spec):
+        dear = budget is not ANY_PRICE and budget.dear(spec, kind.type, kind.spot)
+        by_rank: dict[tuple[bool, bool], list[Bucket]] = {}
+        for bucket in buckets:
+            # What is kept for accelerator work is paid anyway: its rest is given away.
+            by_rank.setdefault((bucket.alike.shunned, dear and not bucket.alike.kept), []).append(bucket)
+        for (shunned, dear_here), alike in by_rank.items():
+            if not (dear_here and budget.cheap_only):
+                groups.append(_Group(kind, shunned, dear_here, alike))
+    return groups
 
 
-class _Run(NamedTuple):
-    """Machines that an array takes one after the other: `order` tells one run's turn from another's, then the name."""
+class _Candidate(NamedTuple):
+    """A machine, with what tells it from others of its group: the fetch in seconds, rounded, and a rank."""
 
-    order: tuple
+    fetch: float
+    rank: float
     name: str
-    serial: int
-    rest: Iterator[str]
-    bucket: Bucket
+
+
+def _candidates(
+    spec: JobSpec, kind: Kind, buckets: Iterable[Bucket], rank: Callable[[Bucket], float]
+) -> Iterator[_Candidate]:
+    """A group's machines by fetch, rank and name; `buckets` is in the order of rank."""
+    for fetch, listings in _stages(spec, kind):
+        for tier, there in groupby(buckets, rank):
+            names = [listing(bucket, spec.image) for bucket in there for listing in listings]
+            for name in names[0] if len(names) == 1 else heapq.merge(*names):
+                yield _Candidate(fetch, tier, name)
+
+
+def _stages(spec: JobSpec, kind: Kind) -> Iterator[tuple[float, list[Callable[[Bucket, str], Iterable[str]]]]]:
+    """Which machines come first for their images: fetches that round to the same are the same."""
+    whole = whole_fetch(spec, kind.type)
+    costs = ((0.0, Bucket.having), (whole * FETCHING_SHARE, Bucket.fetching), (whole, Bucket.without))
+    rounded = [(round(cost, 1), listing) for cost, listing in costs]
+    for fetch, stage in groupby(rounded, key=lambda entry: entry[0]):
+        yield fetch, [listing for _, listing in stage]
 
 
 def _fill_up(
-    spec: JobSpec, count: int, choice: Choice, usable: list[_Usable], zones: Counter, mates: Counter
+    spec: JobSpec, count: int, choice: Choice, groups: list[_Group], zones: Counter, mates: Counter
 ) -> list[View]:
     """An array: zone by zone, the one with most room first, each machine to the brim.
 
     Few zones mean that few controllers write the job's records.
     """
     free: Counter = Counter()
-    for bucket, _ in usable:
-        free[bucket.kind.zone] += choice.free_cpus(bucket)
+    for group in groups:
+        for bucket in group.buckets:
+            free[group.kind.zone] += choice.free_cpus(bucket)
     ranks = {zone: (zones[zone] == 0, -free[zone], zone) for zone in free}
-    runs: list[_Run] = []
-    for bucket, dear in usable:
-        alike = bucket.alike
-        for fetch, names in bucket.runs(spec):
-            order = (alike.shunned, dear, ranks[bucket.kind.zone], round(fetch, 1), not bucket.kind.spot, alike.cpus)
-            runs.append(_Run(order, next(names), len(runs), names, bucket))
-    heapq.heapify(runs)
+
+    def turn(group: _Group, candidate: _Candidate) -> tuple:
+        return group.shunned, group.dear, ranks[group.kind.zone], candidate.fetch, not group.kind.spot, *candidate[1:]
+
+    turns: list[tuple[tuple, _Group, Iterator[_Candidate]]] = []
+    for group in groups:
+        candidates = _candidates(spec, group.kind, group.buckets, lambda bucket: bucket.alike.cpus)
+        for first in candidates:
+            turns.append((turn(group, first), group, candidates))
+            break
+    heapq.heapify(turns)
     chosen: list[View] = []
-    while runs and len(chosen) < count:
-        run = runs[0]
-        view = choice.room.view(run.name)
+    while turns and len(chosen) < count:
+        order, group, candidates = turns[0]
+        view = choice.room.view(order[-1])
         left = min(count - len(chosen), zone_room(spec, zones, view.zone))
         if left > 0 and choice.admits(view):
             n = min(view.capacity(spec), left)
@@ -91,22 +122,22 @@
             zones[view.zone] += n
             mates[view.name] += n
             chosen += [view] * n
-        name = next(run.rest, None) if left > 0 else None  # a zone that is full takes none of the run
-        if name is None:
-            heapq.heappop(runs)
+        following = next(candidates, None) if left > 0 else None  # a zone that is full takes none of the group
+        if following is None:
+            heapq.heappop(turns)
         else:
-            heapq.heapreplace(runs, run._replace(name=name))
+            heapq.heapreplace(turns, (turn(group, following), group, candidates))
     return chosen
 
 
-class _Place(NamedTuple):
+class _Offer(NamedTuple):
     """A machine that a service's next task may go to; between the two parts of a score the zone's own rank counts."""
 
     first: tuple
     then: tuple
-    serial: int
     view: View
-    rest: Iterator[str] | None  # those of its bucket that come after it
+    dear: bool
+    following: Iterator[_Candidate] | None  # those of its group behind it; none if it is offered by itself
 
 
 class _Spread:
@@ -117,66 +148,77 @@
     hours can't be returned.
     """
 
-    def __init__(self, spec: JobSpec, choice: Choice, usable: list[_Usable], zones: Counter, mates: Counter) -> None:
+    def __init__(self, spec: JobSpec, choice: Choice, groups: list[_Group], zones: Counter, mates: Counter) -> None:
         self._spec = spec
         self._choice = choice
         self._zones = zones
         self._mates = mates
-        self._ours = {name for name, n in mates.items() if n > 0}  # scored each by itself
-        self._dear = {id(bucket): dear for bucket, dear in usable}
-        self._places: dict[str, list[_Place]] = {}
-        self._serial = 0
-        for bucket, dear in usable:
-            for _, names in bucket.runs(spec):
-                self._offer_next(dear, names)
+        self._ours = {name for name, n in mates.items() if n > 0}  # offered each by itself
+        self._offers: dict[str, list[_Offer]] = {}  # by zone, heaps
+        for group in groups:
+            rank = _least_gpus if group.kind.type.gpus else _most_cpus
+            self._offer_next(group.dear, _candidates(spec, group.kind, sorted(group.buckets, key=rank), rank))
         for name in self._ours:
             view = choice.get(name)
-            if view is not None and id(bucket := choice.room.bucket_of(name)) in self._dear:
-                self._offer(view, self._dear[id(bucket)], None)
-
-    def _offer_next(self, dear: bool, names: Iterator[str]) -> None:
-        """Offer the next machine of a run, if it has one."""
-        for name in names:
-            view = self._choice.room.view(name)
-            if name not in self._ours and self._choice.admits(view):
-                self._offer(view, dear, names)
+            if view is not None:
+                self._offer_ours(view, groups)
+
+    def _offer_ours(self, view: View, groups: list[_Group]) -> None:
+        """Offer a machine that has a task of the job already, if it has room for another."""
+        bucket = self._choice.room.bucket_of(view.name)
+        for group in groups:
+            if group.kind == bucket.kind and any(bucket is other for other in group.buckets):
+                self._offer(view, group.dear, None)
+
+    def _offer_next(self, dear: bool, following: Iterator[_Candidate]) -> None:
+        """Offer the next machine of a group, if it has one."""
+        for candidate in following:
+            view = self._choice.room.view(candidate.name)
+            if candidate.name not in self._ours and self._choice.admits(view):
+                self._offer(view, dear, following)
                 return
 
-    def _offer(self, view: View, dear: bool, rest: Iterator[str] | None) -> None:
+    def _offer(self, view: View, dear: bool, following: Iterator[_Candidate] | None) -> None:
         n = self._mates[view.name]
         free = view.gpus if view.type.gpus else -view.cpus
         first = (view.shunned, view.spot, n > 0)
         then = (round(fetch_cost(self._spec, view), 1), dear, n, free, view.name)
-        self._serial += 1
-        heapq.heappush(self._places.setdefault(view.zone, []), _Place(first, then, self._serial, view, rest))
+        heapq.heappush(self._offers.setdefault(view.zone, []), _Offer(first, then, view, dear, following))
 
     def choose(self, count: int) -> list[View]:
         """Up to so many machines, one entry a task."""
         chosen: list[View] = []
         while len(chosen) < count and (zone := self._best_zone()) is not None:
-            view = self._take_first(zone)
-            chosen.append(view)
+            chosen.append(self._take_first(zone))
         return chosen
 
     def _best_zone(self) -> str | None:
         """The zone whose first machine is best."""
-        able = [z for z, places in self._places.items() if places and zone_room(self._spec, self._zones, z) > 0]
-        return min(
-            able,
-            key=lambda z: (self._places[z][0].first, self._zones[z], self._places[z][0].then),
-            default=None,
-        )
+        able = [z for z, offers in self._offers.items() if offers and zone_room(self._spec, self._zones, z) > 0]
+        return min(able, key=self._rank_of_zone, default=None)
+
+    def _rank_of_zone(self, zone: str) -> tuple[tuple, Any, tuple]:
+        best = self._offers[zone][0]
+        return best.first, self._zones[zone], best.then
 
     def _take_first(self, zone: str) -> View:
-        """Take the zone's best machine; it and the next of its run are offered again."""
-        place_ = heapq.heappop(self._places[zone])
-        view, dear = place_.view, place_.then[1]
+        """Take the zone's best machine; it and the next of its group are offered again."""
+        offer = heapq.heappop(self._offers[zone])
+        view = offer.view
         view.take(self._spec)
         self._zones[zone] += 1
         self._mates[view.name] += 1
-        if place_.rest is not None:
+        if offer.following is not None:
             self._ours.add(view.name)
-            self._offer_next(dear, place_.rest)
+            self._offer_next(offer.dear, offer.following)
         if view.fits(self._spec):
-            self._offer(view, dear, None)
+            self._offer(view, offer.dear, None)
         return view
+
+
+def _least_gpus(bucket: Bucket) -> float:
+    return bucket.alike.gpus
+
+
+def _most_cpus(bucket: Bucket) -> float:
+    return -bucket.alike.cpus
--- a/tests/plain_placement.py
+++ b/tests/plain_placement.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from kelpjunction.placement import ANY_PRICE, SLACK, Budget, View, allowed, fetch_cost, zone_room
+from kelpjunction.placement import ANY_PRICE, SLACK, Budget, View, allowed, fetch_cost, slot_price, zone_room
 from kelpjunction.wire.messages import JobSpec, Shape
 
 
@@ -126,3 +126,83 @@
     """The zone whose first machine is best; between the two parts of a score the zone's own rank counts."""
     able = [z for z, pool in pools.items() if pool and open_(z)]
     return min(able, key=lambda z: (pools[z][0][0], rank(z), pools[z][0][1]), default=None)
+
+
+def place_gang(spec: JobSpec, views: Iterable[View]) -> list[View] | None:
+    """Machines for a whole gang, one entry a task, or None if it does not fit."""
+    usable = _usable(spec, views)
+    by_zone: dict[str, list[View]] = {}
+    for view in usable:
+        by_zone.setdefault(view.zone, []).append(view)
+    # One zone first: a gang that need not cross zones should not.
+    pools = [by_zone[z] for z in sorted(by_zone)]
+    plans = [p for p in (_fill_gang(spec, pool) for pool in pools) if p is not None]
+    if not plans and not spec.one_zone:
+        whole = _fill_gang(spec, usable)
+        plans = [] if whole is None else [whole]
+    if not plans:
+        return None
+    best = min(plans, key=lambda plan: _gang_cost(spec, plan))
+    for view, n in best.items():
+        view.take(spec, n)
+    return [view for view, n in best.items() for _ in range(n)]
+
+
+def _fill_gang(spec: JobSpec, pool: list[View]) -> dict[View, int] | None:
+    """Greedy: the machines that take most first; then swaps to use fewer."""
+    limit = -(-spec.tasks // 2) if spec.spread else spec.tasks
+    room = {v.name: v.capacity(spec) for v in pool}
+    order = sorted(
+        pool,
+        key=lambda v: (
+            v.shunned,
+            -min(room[v.name], spec.tasks),
+            fetch_cost(spec, v),
+            slot_price(spec, v.type, v.spot),
+            v.name,
+        ),
+    )
+    plan: dict[str, int] = {}
+    zones: Counter = Counter()
+    left = spec.tasks
+    for view in order:
+        n = min(room[view.name], left, limit - zones[view.zone])
+        if n > 0:
+            plan[view.name] = n
+            zones[view.zone] += n
+            left -= n
+    if left > 0:
+        return None
+    by_name = {v.name: v for v in pool}
+    _swap(spec, plan, by_name, room)
+    return {by_name[name]: n for name, n in plan.items()}
+
+
+def _swap(spec: JobSpec, plan: dict[str, int], by_name: dict[str, View], room: dict[str, int]) -> None:
+    """Move a machine's tasks to one outside the plan that is better for all of them."""
+    for name in sorted(plan, key=lambda n: plan[n]):
+        count = plan[name]
+        here = by_name[name]
+        better = [
+            v
+            for v in by_name.values()
+            if v.name not in plan
+            and v.zone == here.zone
+            and room[v.name] >= count
+            and (v.shunned, fetch_cost(spec, v), v.capacity(spec))
+            < (here.shunned, fetch_cost(spec, here), here.capacity(spec))
+        ]
+        if better:
+            best = min(better, key=lambda v: (v.shunned, fetch_cost(spec, v), v.capacity(spec), v.name))
+            del plan[name]
+            plan[best.name] = count
+
+
+def _gang_cost(spec: JobSpec, plan: dict[View, int]) -> tuple:
+    return (
+        any(v.shunned for v in plan),
+        len({v.zone for v in plan}),
+        max(fetch_cost(spec, v) for v in plan),
+        len(plan),
+        sum(slot_price(spec, v.type, v.spot) for v in plan),
+    )
