--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -111,11 +111,12 @@
     """What a leader's rounds cost: a hundred services that come at once, and a hundred handed jobs with one change."""
     from kelpjunction.lab.world import Team, World
 
-    world = World(machines=machines, capacity=machines, teams=(Team("red", 0.0, 0.0, None, None),))
+    teams = (Team("red", 0.0, 0.0, None, None), Team("blue", 2.0, 0.0, 2.0, None))
+    world = World(machines=machines, capacity=machines, teams=teams)
     world.run(4)
     leader = world.leader()
     leader.leading._every = timedelta()  # each of its rounds looks for room
-    world.submit("j-100000", node=leader.platform.node, shape="service", urgency="prod", run_s=1e6)
+    world.submit("j-300000", node=leader.platform.node, shape="service", urgency="prod", run_s=1e6)
     world.run(2)  # the views are made
     for number in range(100):
         world.submit(f"j-1{number:05}", 3, node=leader.platform.node, shape="service", urgency="prod", run_s=1e6)
@@ -123,15 +124,23 @@
     began = time.process_time()
     leader.leading.round()
     burst = (time.process_time() - began) * 1e3
-    for _ in range(5):
+    for _ in range(10):  # the budget refills while time passes; nobody starts what is handed over
+        world.clock.now += timedelta(seconds=0.5)
+        leader.leadership.step()
         leader.follow()
         leader.leading.round()
+    assert len(leader.book.handed) >= 100, f"{len(leader.book.handed)} services are handed over"
     key = next(key for key in world.store.data if key.startswith("l/machine/"))
     record, versions = leader.mirror.get(key).value, iter(range(10**9, 10**9 + 100))
-    # One more job waits, which finds no room, so that each round looks.
-    world.submit("j-200000", 4, node=leader.platform.node, cpus=8.0, ram_gb=64.0, hulls=["none"])
-    world.submit("j-200001", 20000, node=leader.platform.node, cpus=8.0, ram_gb=60.0, run_s=1e6)
-    leader.follow()
+    # One more job waits, which its team's limit keeps waiting, so that each round looks.
+    world.submit("j-200000", node=leader.platform.node, crew="blue", run_s=1e6)
+    world.submit("j-200001", node=leader.platform.node, crew="blue", run_s=1e6)
+    for _ in range(3):
+        world.clock.now += timedelta(seconds=0.5)
+        leader.leadership.step()
+        leader.follow()
+        leader.leading.round()
+    assert leader.book.waiting, "a job waits"
 
     def changed_round() -> None:
         leader.mirror.put(key, record, next(versions))
