--- a/benchmarks/round.py
+++ b/benchmarks/round.py
@@ -43,9 +43,8 @@
     return world
 
 
-def costs(machines: int) -> dict[str, float]:
-    """The calls of one node at this size."""
-    world = filled(machines)
+def costs(world) -> dict[str, float]:
+    """The calls of one node in a world that is at work."""
     leader = world.leader()
     leader.leading._every = timedelta()  # each of its rounds looks for room
     holder = next(n for n in world.nodes.values() if n is not leader and n.blocks.my_zones())
@@ -56,12 +55,13 @@
         report["tally"] += 1
         assert holder.check_in(orjson.dumps(report))[0] == 200
 
-    key = "l/run/j-100000/0"
+    key = next(entry.key for entry in holder.mirror.below("l/run/"))
+    ref = key.split("/")[2]
     record = holder.mirror.get(key).value
     versions = iter(range(10**9, 10**9 + 1000))
     return {
         "check-in": timed(check_in, 200),
-        "poll": timed(lambda: holder.intake.status("j-100000"), 200),
+        "poll": timed(lambda: holder.intake.status(ref), 200),
         "followed change": timed(lambda: holder.mirror.put(key, record, next(versions)), 200),
         "holder's idle round": timed(holder.holding.round, 50),
         "leader's idle round": timed(leader.leading.round, 50),
@@ -76,7 +76,7 @@
     for _ in range(3):
         leader.follow()
         leader.leading.round()
-    key = "l/run/j-100001/0"
+    key = next(e.key for e in leader.mirror.below("l/run/") if len(e.value["p"]) > 1)
     record = leader.mirror.get(key).value
     versions = iter(range(2 * 10**9, 2 * 10**9 + 1000))
 
@@ -106,7 +106,7 @@
         import kelpjunction
 
         kelpjunction.__path__.append(str(ROOT / "kelpjunction"))
-        sys.stdout.buffer.write(orjson.dumps(costs(only)))
+        sys.stdout.buffer.write(orjson.dumps(costs(filled(only))))
         return
     with tempfile.TemporaryDirectory() as folder:
         old = Path(folder) / "old"
--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -112,6 +112,7 @@
             self.presence,
             spawn,
             random_source,
+            changes,
         )
         self.leadership.is_deaf = lambda: self.watch.deaf
         self.watch.on_deaf = self.leadership.step
--- a/kelpjunction/fleet/watch.py
+++ b/kelpjunction/fleet/watch.py
@@ -7,14 +7,15 @@
 
 import logging
 import random
-from collections import Counter
 from collections.abc import Callable
 from datetime import timedelta
 
 from kelpjunction.blocks import Blocks, block_key
 from kelpjunction.budget import Purpose
+from kelpjunction.changes import Changes
 from kelpjunction.clock import ZERO, Clock, Presence, seconds
 from kelpjunction.fleet.machines import MACHINE_PREFIX, ROW_BYTES, Inventory, Machine, MachineState, Row
+from kelpjunction.fleet.states import StateIndex
 from kelpjunction.jobs.blame import Blame
 from kelpjunction.jobs.book import Book, Placement
 from kelpjunction.settings import WorkerTimes
@@ -48,6 +49,7 @@
         presence: Presence,
         spawn: Callable,
         random_source: random.Random,
+        changes: Changes,
     ) -> None:
         self._times = times
         self._store = store
@@ -61,6 +63,7 @@
         self._presence = presence
         self._spawn = spawn
         self._random = random_source
+        self._states = StateIndex(changes, inventory.machines)
         self._published_at = ZERO
         self._publishing = False
         self._asking = 0  # machines that a probe still waits for
@@ -210,15 +213,14 @@
         That is like a cut, not like machines that died.  Tasks in a cut zone
         go on until their leases end, so the leases are waited for.
         """
-        near = [m for m in self.mine() if m.zone == zone and m.state is MachineState.UP]
+        near = self._states.names(zone, MachineState.UP)
         if near:
-            some = self._random.sample(near, min(PROBED, len(near)))
+            names = self._random.sample(near, min(PROBED, len(near)))
+            some = [self._inventory.machines[name] for name in names]
             return not any(self._roster.visit(m.name, m.address) for m in some)
-        machines = self._inventory.machines.values()
-        there = sum(m.zone == zone for m in machines)
-        silent = Counter(m.zone for m in machines if m.state is MachineState.SILENT)
-        everywhere = silent.total()
-        return (silent[zone] >= 3 and silent[zone] * 2 > there) or (everywhere >= 4 and everywhere * 2 > len(machines))
+        silent, everywhere = len(self._states.names(zone, MachineState.SILENT)), self._states.count(MachineState.SILENT)
+        there, machines = self._states.in_zone(zone), len(self._inventory.machines)
+        return (silent >= 3 and silent * 2 > there) or (everywhere >= 4 and everywhere * 2 > machines)
 
     def publish(self) -> None:
         """Write down what changed of our blocks' machines, a page at a time, guarded by the blocks' grants.
--- a/kelpjunction/placement/room.py
+++ b/kelpjunction/placement/room.py
@@ -145,9 +145,10 @@
 
     def _file_marked(self) -> None:
         for name in self._marked:
-            self._take_out(name)
             view = self._views.get(name)
-            if view is not None:
+            if view is None:
+                self._take_out(name)
+            else:
                 self._file(view)
         self._marked.clear()
 
@@ -156,18 +157,24 @@
         alike = _Alike(
             view.cpus, view.gpus, view.memory, view.kept, view.kept_cpus, view.kept_memory, view.shunned, view.held_for
         )
+        images = frozenset(view.images)
+        arriving = view.arriving - images
+        filed = self._filed.get(view.name)
+        if filed is not None:
+            bucket = filed.bucket
+            if alike == bucket.alike and kind == bucket.kind and images == filed.images and arriving == filed.arriving:
+                return  # made anew as it was, as most are when what is kept for accelerators changes
+            self._take_out(view.name)
         bucket = self._buckets.get((kind, alike))
         if bucket is None:
             bucket = self._buckets[kind, alike] = Bucket(kind, alike, (alike.cpus, next(self._serial)))
             self._by_kind.setdefault(kind, SortedDict())[bucket.order] = bucket
-        images = frozenset(view.images)
-        arriving = frozenset(view.arriving) - images
         bucket.names.add(view.name)
         for image in images:
             bucket.images.setdefault(image, SortedList()).add(view.name)
         for image in arriving:
             bucket.arriving.setdefault(image, SortedList()).add(view.name)
-        self._filed[view.name] = _Filed(bucket, images, arriving)
+        self._filed[view.name] = _Filed(bucket, images, frozenset(arriving))
 
     def _take_out(self, name: str) -> None:
         filed = self._filed.pop(name, None)
--- a/tests/test_schedules.py
+++ b/tests/test_schedules.py
@@ -7,6 +7,7 @@
 from traces import served, worker_of
 
 from kelpjunction.changes import Changes
+from kelpjunction.fleet.machines import MachineState
 from kelpjunction.jobs.book import Book
 from kelpjunction.lab.world import World, seconds
 from kelpjunction.placement import place
@@ -62,6 +63,19 @@
     return book
 
 
+def check_states(node) -> None:
+    """The watch knows how many machines of each zone are in each state."""
+    machines, states = node.inventory.machines, node.watch._states
+    for zone in ("a", "b", "c"):
+        assert states.in_zone(zone) == sum(m.zone == zone for m in machines.values())
+        for state in MachineState:
+            assert list(states.names(zone, state)) == sorted(
+                m.name for m in machines.values() if m.zone == zone and m.state is state
+            )
+    for state in MachineState:
+        assert states.count(state) == sum(m.state is state for m in machines.values())
+
+
 def check_reservations(node) -> None:
     """The leader has reserved room for all that is handed over and not started, once each, unless there is none."""
     leading = node.leading
@@ -89,6 +103,7 @@
             assert indexes(node.book) == reckoned_afresh(node.book)
             for kept, made in (kept_views(node.holding, node), kept_views(node.leading, node)):
                 assert kept == made, "a machine changed and its view did not"
+            check_states(node)
             if node.leadership.reign is not None:
                 check_reservations(node)
 
