--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 from datetime import UTC, datetime
 from pathlib import Path
+from typing import NamedTuple
 
 import click
 import numpy
@@ -29,7 +30,12 @@
 REPORT_S, POLL_S = 3.0, 5.0
 CHANGES_OF_TASK = 3  # reports that a task brings forward: begun, running, exited
 CHANGES_A_START = 0.5  # of the state service (benchmarks/changes.py)
+COMMANDS_A_START = 2  # a start, and half of the ends are stops
+COMMAND_BYTES = 700  # with the answer, which is a report
+POLLS_A_COMPARISON = 4  # polls that share one comparison with the state service
+WATCHES_A_NODE = 15  # requests a second, with the extensions of its hold
 NODES = 3  # of a cell
+MEMORY = "a node's memory, MB beside 40"
 FASTER = 1.15  # the exponent above which a count grows faster than the fleet
 CONSTANT = 0.25  # and above which a call's cost is said to grow with it
 
@@ -54,7 +60,6 @@
 
 
 ROLES_AT = (Size("today's largest (574)", 574, 30), Size("mean cell", 1215, 271), Size("largest cell", 2125, 475))
-ALL_WORKERS = 8500
 
 
 def world_of(machines: int):
@@ -121,7 +126,7 @@
     live = {k: v[0] for k, v in world.store.data.items() if k.startswith("l/")}
     found["live records"] = len(live)
     found["live KB"] = sum(len(k) + len(orjson.dumps(v)) for k, v in live.items()) / 1024
-    found["a node's memory, MB beside 40"] = _memory(world)
+    found[MEMORY] = _memory(world)
     worker = next(w for w, _ in world.cloud.machines.values() if len(w.tasks) >= TASKS_EACH - 1)
     found["bytes of a check-in"] = len(orjson.dumps(worker.report())) + HEADERS
     stand_in, leader = StandInTime(world), world.leader()
@@ -195,7 +200,22 @@
     return cost(Handler, b"", 2000) * 1e6, cost(Handler, b"x" * 1200, 2000) * 1e6
 
 
-def role_rows(size: Size, slopes: dict[str, Slope], poll_http: float, report_http: float) -> list[tuple[str, ...]]:
+class Row(NamedTuple):
+    """A role at a size."""
+
+    role: str
+    state: str
+    messages: str  # a second
+    cores: float | None
+    memory: str
+
+    @property
+    def cells(self) -> tuple[str, ...]:
+        cores = "" if self.cores is None else f"{self.cores:.3f}"
+        return self.role, self.state, self.messages, cores, self.memory
+
+
+def role_rows(size: Size, slopes: dict[str, Slope], poll_http: float, report_http: float) -> list[Row]:
     """Each role of a cell at a size: state, messages a second with bytes, cores, memory."""
 
     def at(name: str) -> float:
@@ -207,40 +227,45 @@
     follow = changes * at("followed change, us") / 1e6
     user = (polls * (at("poll, us") + poll_http) + submissions * (at("submission, us") + report_http)) / 1e6
     reports = size.check_ins * (at("check-in, us") + report_http) / 1e6
-    commands = size.starts * 2 * report_http / 1e6
+    commands = COMMANDS_A_START * size.starts * report_http / 1e6
     rounds = min(4.0, 1 + submissions) * at("waiting round, ms") / 1e3 + at("leader's idle round, ms") / 1e3
     holder_rounds = 4 * at("holder's idle round, ms") / 1e3
-    memory = 40 + at("a node's memory, MB beside 40")
-    records = f"{at('live records'):.0f} records, {at('live KB') / 1024:.1f} MB"
-    report_bytes = at("bytes of a check-in")
-    busiest = 1 / NODES
+    memory = f"{40 + at(MEMORY):.0f} MB"
+    state = f"{at('live records'):.0f} records, {at('live KB') / 1024:.1f} MB"
+    report = at("bytes of a check-in")
+    reports_each, starts_each = size.check_ins / size.workers, size.starts / size.workers
+    bytes_each = reports_each * report + COMMANDS_A_START * starts_each * COMMAND_BYTES
+    sent = COMMANDS_A_START * size.starts / NODES
+    holder = follow + (reports + commands) / NODES + holder_rounds
+    whole = NODES * (follow + holder_rounds) + reports + commands + rounds + user
+    requests = changes + polls / POLLS_A_COMPARISON + WATCHES_A_NODE * NODES
     return [
-        ("leader", records, f"{changes:.0f} followed, {submissions:.0f} handed", f"{follow + rounds:.3f}", f"{memory:.0f} MB"),
-        (
+        Row("leader", state, f"{changes:.0f} followed, {submissions:.0f} jobs handed", follow + rounds, memory),
+        Row(
             "block holder (a third of the workers)",
-            records,
-            f"{size.check_ins * busiest:.0f} check-ins of {report_bytes:.0f} B, {size.starts * busiest * 2:.0f} commands",
-            f"{follow + (reports + commands) * busiest + holder_rounds:.3f}",
-            f"{memory:.0f} MB",
+            state,
+            f"{size.check_ins / NODES:.0f} check-ins of {report:.0f} B, {sent:.0f} commands",
+            holder,
+            memory,
         ),
-        ("other controller", records, f"{changes:.0f} followed", f"{follow:.3f}", f"{memory:.0f} MB"),
-        ("users' path, on all controllers", f"{size.jobs:.0f} jobs", f"{polls:.0f} polls, {submissions:.0f} submissions", f"{user:.3f}", "in the above"),
-        (
-            "state service",
-            records,
-            f"{changes:.0f} changes, {changes + polls / 4 + 15 * NODES:.0f} requests",
-            "not ours",
-            f"{at('live KB') / 1024:.1f} MB live",
+        Row("other controller", state, f"{changes:.0f} followed", follow, memory),
+        Row(
+            "users' path, on all controllers",
+            f"{size.jobs:.0f} live jobs",
+            f"{polls:.0f} polls, {submissions:.0f} submissions",
+            user,
+            "in the above",
         ),
-        (
-            "worker (hollow: tasks aside)",
+        Row("state service", state, f"{changes:.0f} changes, {requests:.0f} requests", None, "not ours"),
+        Row(
+            "worker",
             f"{TASKS_EACH} tasks",
-            f"{size.check_ins / size.workers:.2f} check-ins, {size.check_ins / size.workers * report_bytes + 2 * size.starts / size.workers * 700:.0f} B",
-            "below 0.001",
-            "below 1 MB",
+            f"{reports_each:.2f} check-ins, {bytes_each:.0f} B",
+            None,
+            "see the scale run",
         ),
-        ("cell, all controllers", "", "", f"{NODES * follow + reports + commands + rounds + NODES * holder_rounds + user:.3f}", f"{NODES * memory:.0f} MB"),
-    ]  # fmt: skip
+        Row("cell, all controllers", "", "", whole, f"{NODES} x {memory}"),
+    ]
 
 
 def table(columns: tuple[str, ...], rows: list[tuple[str, ...]]) -> None:
@@ -283,7 +308,7 @@
     for size in ROLES_AT:
         click.echo(f"\n{size.name}: {size.workers} workers, {size.starts:.0f} starts a second\n")
         columns = ("role", "state", "messages a second", "cores", "memory")
-        table(columns, role_rows(size, slopes, poll_http, report_http))
+        table(columns, [row.cells for row in role_rows(size, slopes, poll_http, report_http)])
 
 
 if __name__ == "__main__":
