Lab: a machine that died never carries out what it was told meanwhile

Change: one handler for machines (lab.serving.machine_handle) answers 503 after the wait unless the machine is back; a cancelled job that overruns is named once.

--- a/kelpjunction/lab/live.py
+++ b/kelpjunction/lab/live.py
@@ -23,7 +23,7 @@
 
 from kelpjunction.clock import seconds
 from kelpjunction.lab.node_settings import LabPlatform, NodePlace, node_settings
-from kelpjunction.lab.serving import HOST, Handle, Refused, ServedStore, serve
+from kelpjunction.lab.serving import HOST, WORKER_TIMEOUT, Handle, Refused, ServedStore, machine_handle, serve
 from kelpjunction.lab.site import CLOUD_LIMITS, STORE_LIMITS, TEAMS, Site
 from kelpjunction.lab.worker import WorkerStandIn
 from kelpjunction.tickets.users import CANCEL_END, TICKETS_PATH
@@ -33,7 +33,6 @@
 STATE_PORT, CLOUD_PORT, CONTROL_PORT, GATEWAY_PORT = 379, 443, 70, 90  # above the lab's first port, as the nodes' are
 TICK = timedelta(milliseconds=100)
 USER_TIMEOUT = timedelta(seconds=5)
-WORKER_TIMEOUT = timedelta(seconds=4)
 
 
 class LiveClock:
@@ -89,13 +88,8 @@
         return server.server_port
 
     def address_of(self, worker: WorkerStandIn, number: int) -> str:
-        def handle(method: str, path: str, body: dict) -> Reply:
-            if not worker.up or worker.cut:
-                gevent.sleep(WORKER_TIMEOUT.total_seconds())  # a machine without power does not answer
-            return worker.handle(method, path, body)
-
         gevent.spawn(self._work, worker)
-        return f"{HOST}:{self._serve(0, handle)}"
+        return f"{HOST}:{self._serve(0, machine_handle(worker))}"
 
     def _work(self, worker: WorkerStandIn) -> None:
         while True:
--- a/kelpjunction/lab/scale/checker.py
+++ b/kelpjunction/lab/scale/checker.py
@@ -50,6 +50,7 @@
         self._asked_to_cancel: set[str] = set()
         self._told: dict[str, str] = {}
         self._told_cancelled: dict[str, float] = {}
+        self._overrun: set[str] = set()  # cancelled jobs that went on for too long, each named once
         self._queue: list[tuple[float, int, Callable[[], None]]] = []
         self._number = count()
         self._upto: dict[str, float] = {}
@@ -160,7 +161,8 @@
         """Look for tasks of jobs that were cancelled too long ago."""
         upto = min(self._upto.values(), default=now)
         for ref, told in self._told_cancelled.items():
-            if upto - told > self._cancel_s and self._on.get(ref):
+            if upto - told > self._cancel_s and self._on.get(ref) and ref not in self._overrun:
+                self._overrun.add(ref)
                 self._break([f"ran_cancelled: {ref} is still on {self._on[ref][0].machine}"])
 
     # -- at the end ------------------------------------------------------------------
--- a/kelpjunction/lab/scale/hollow.py
+++ b/kelpjunction/lab/scale/hollow.py
@@ -19,12 +19,12 @@
 from geventhttpclient.connectionpool import ConnectionPool
 
 from kelpjunction.clock import seconds
-from kelpjunction.lab.live import TICK, WORKER_TIMEOUT, LiveClock
+from kelpjunction.lab.live import TICK, LiveClock
 from kelpjunction.lab.scale.messages import Batch, Event, EventKind, Order
-from kelpjunction.lab.serving import serve
+from kelpjunction.lab.serving import WORKER_TIMEOUT, machine_handle, serve
 from kelpjunction.lab.worker import WorkerStandIn
 from kelpjunction.settings import WorkerTimes
-from kelpjunction.transport import HttpTransport, NoAnswer, Reply
+from kelpjunction.transport import HttpTransport, NoAnswer
 from kelpjunction.wire.workers import CHECK_IN_PATH
 
 TELL_EVERY = timedelta(milliseconds=50)
@@ -184,13 +184,8 @@
         worker.node = self._random.randrange(self.node_count)
         self._transports[name] = CountingTransport(REPORT_CONNECTIONS)
 
-        def handle(method: str, path: str, body: dict) -> Reply:
-            if not worker.up:
-                gevent.sleep(WORKER_TIMEOUT.total_seconds())  # a machine without power does not answer
-            return worker.handle(method, path, body)
-
         host, _, port = address.rpartition(":")
-        self._servers[name] = serve(handle, int(port), host, CountingServer)
+        self._servers[name] = serve(machine_handle(worker), int(port), host, CountingServer)
 
     def _die(self, name: str) -> None:
         worker = self._workers.pop(name, None)
--- a/kelpjunction/lab/serving.py
+++ b/kelpjunction/lab/serving.py
@@ -2,15 +2,19 @@
 
 import time
 from collections.abc import Callable
+from datetime import timedelta
 
+import gevent
 import orjson
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
 from kelpjunction.lab.store import StoreStandIn
+from kelpjunction.lab.worker import WorkerStandIn
 from kelpjunction.transport import Reply
 
 HOST = "127.0.0.1"
+WORKER_TIMEOUT = timedelta(seconds=4)  # that a worker waits for the answer to its report, and others for its own
 REASONS = {200: "200 OK", 400: "400 Bad Request", 404: "404 Not Found", 409: "409 Conflict"}
 
 Handle = Callable[[str, str, dict], Reply]
@@ -49,6 +53,23 @@
     return server
 
 
+def machine_handle(worker: WorkerStandIn, wait: Callable[[float], None] = gevent.sleep) -> Handle:
+    """What a machine answers to requests: nothing in time while it has no power or is cut off.
+
+    What waited at a cut is carried out late, if the cut is over by then; what
+    waited at a machine that is gone never is.
+    """
+
+    def handle(method: str, path: str, body: dict) -> Reply:
+        if not worker.up or worker.cut:
+            wait(WORKER_TIMEOUT.total_seconds())
+            if not worker.up or worker.cut:
+                return Reply(503, {})
+        return worker.handle(method, path, body)
+
+    return handle
+
+
 class ServedStore:
     """The state service over HTTP: a watch waits for news, as PROTOCOL says."""
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -11,6 +11,8 @@
 from kelpjunction.lab.scale.checker import Checker
 from kelpjunction.lab.scale.messages import Event, EventKind
 from kelpjunction.lab.scale.plan import ScaleError, load_plan
+from kelpjunction.lab.serving import machine_handle
+from kelpjunction.lab.world import World
 
 ROOT = Path(__file__).resolve().parent.parent
 TINY = ROOT / "tests" / "scale.toml"
@@ -81,6 +83,20 @@
     plan.check_bounds(memory_mb=40000)
 
 
+def test_a_machine_that_died_never_carries_out_what_it_was_told_meanwhile():
+    """A hollow machine once woke up four seconds after its death, and ran what a controller had sent it."""
+    world = World(machines=1)
+    worker = next(w for w, _ in world.cloud.machines.values())
+    world.run(1)
+    world.jobs["j-1"] = JOB | {"expect_s": 1.0}
+    handle = machine_handle(worker, wait=lambda duration: None)
+    order = {"verb": "run", "frond": "j-1/0", "launch": 1}
+    body = {"helm": worker.token, "watch": worker.session, "orders": [order]}
+    assert handle("POST", "/commands", body).status == 200 and len(worker.tasks) == 1
+    worker.die()
+    assert handle("POST", "/commands", body).status == 503 and not worker.tasks
+
+
 # -- the checker -------------------------------------------------------------------
 
 JOB = {"ref": "j-1", "crew": "red", "shape": "batch", "fronds": 2, "cpus": 2.0, "bay": None}
