Lab: servers don't look up names of their addresses

Cause: the HTTP library looks up each server's name when it starts; a scale run of 1,215 workers began 80 s late, and of the first 60 s only 4 starts a second were left. Change: the name is given.

--- a/kelpjunction/lab/serving.py
+++ b/kelpjunction/lab/serving.py
@@ -46,7 +46,8 @@
 def serve(handle: Handle, port: int = 0, host: str = HOST, server_class: type[WSGIServer] = WSGIServer) -> WSGIServer:
     """A started server on loopback; port 0 takes any that is free.  Raises `Refused` if the port is taken."""
     try:
-        server = server_class((host, port), application(handle), log=None)
+        # The library would look its name up, which takes a moment for each of thousands of machines.
+        server = server_class((host, port), application(handle), log=None, environ={"SERVER_NAME": host})
         server.start()
     except OSError as error:
         raise Refused(f"port {port} is taken: another lab may be up; --port names another") from error
