Stopping others: jobs of one round that ask for the same ask each machine once

Change: placement.stopping.Found keeps what was found of a machine until what is free on it or who may be stopped there changes.

--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -33,7 +33,7 @@
 )
 from kelpjunction.jobs.records import Records, run_key
 from kelpjunction.jobs.views import Views, able_for, cached, emptied, fitting, spread_of, stoppable, view_of
-from kelpjunction.placement import Choice, Victim, View, make_room, place, place_gang
+from kelpjunction.placement import Choice, Found, Victim, View, make_room, place, place_gang
 from kelpjunction.queue import Rights, Waiting, in_order
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Transaction
@@ -474,13 +474,14 @@
             return False
         now = self._clock.steady()
         victims = self._victims([job for job, _ in roomless], views, now)
+        stops = Found(victims, self._rights)
         told: list[Placement] = []
         back: list[Transaction] = []
         for job, left in roomless:
             if job.spec.ref not in self._book.jobs:
                 continue  # it ended while the launches were written
             since = self._roomless.setdefault(job.spec.ref, now)
-            if job.spec.shape is not Shape.GANG and self._stop_for(job, left, views, victims, told):
+            if job.spec.shape is not Shape.GANG and self._stop_for(job, left, views, stops, told):
                 continue
             if now - since >= HAND_BACK_AFTER:
                 del self._roomless[job.spec.ref]
@@ -521,7 +522,7 @@
         job: Job,
         left: list[tuple[TaskId, Handed]],
         views: Choice,
-        victims: dict[str, list[Victim]],
+        stops: Found,
         told: list[Placement],
     ) -> bool:
         """Stop others for these tasks, as far as the job may; whether all of them will find room."""
@@ -531,7 +532,7 @@
             there = views.within([zone])
             count = sum(h.zone == zone for _, h in left)
             count -= len(place(spec, count, there, Counter(), mates, self._fleet.budget(job)))
-            found = make_room(spec, count, there, victims, Counter(), self._rights)
+            found = make_room(spec, count, there, stops, Counter())
             for _, chosen in found:
                 for victim in chosen:
                     told += self._stop_victim(victim.placement, spec)
--- a/kelpjunction/jobs/leading.py
+++ b/kelpjunction/jobs/leading.py
@@ -22,7 +22,7 @@
 from kelpjunction.jobs.reserving import Reservations
 from kelpjunction.jobs.views import Rooms, Views, able_for, emptied, fitting, spread_of, stoppable, unreserved, view_of
 from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
-from kelpjunction.placement import Choice, Kind, Victim, View, allowed, make_room, place, place_gang, type_fits
+from kelpjunction.placement import Choice, Found, Kind, Victim, View, allowed, make_room, place, place_gang, type_fits
 from kelpjunction.queue import Claim, Rights, Usage, Waiting, in_order, shares
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import StoreClient, Transaction
@@ -544,6 +544,7 @@
             return
         pressing.sort(key=lambda entry: entry[0].spec.shape is not Shape.SERVICE)
         victims = stoppable(self._book, self._rights, (j.spec for j, _ in pressing), lambda p: Victim(p, p.spec, ZERO))
+        stops = Found(victims, self._rights)
         barren: set[tuple] = set()  # needs for which stopping others makes no room
         for job, count in pressing:
             spec = job.spec
@@ -555,7 +556,7 @@
             refused = self._refused_zones(tasks)
             room = usage.room(spec.team, spec.cpus, spec.gpus, min(count, len(tasks)))
             able = views.outside(refused)
-            found = make_room(spec, room, able, victims, zones, self._rights)
+            found = make_room(spec, room, able, stops, zones)
             if found:
                 barren.clear()  # what was freed may be more than was taken
             elif room and not (refused or spec.spread or spec.one_zone):
--- a/kelpjunction/placement/__init__.py
+++ b/kelpjunction/placement/__init__.py
@@ -9,7 +9,7 @@
 from kelpjunction.placement.gangs import place_gang
 from kelpjunction.placement.prices import ANY_PRICE, DEAR, Budget, cheapest_slot, slot_price, slots_on
 from kelpjunction.placement.room import Choice, FreeRoom, Kind, choice_of
-from kelpjunction.placement.stopping import Victim, make_room
+from kelpjunction.placement.stopping import Found, Victim, make_room
 from kelpjunction.placement.tasks import place
 from kelpjunction.placement.views import SLACK, View, allowed, fetch_cost, type_fits, zone_room
 
@@ -19,6 +19,7 @@
     "SLACK",
     "Budget",
     "Choice",
+    "Found",
     "FreeRoom",
     "Kind",
     "Victim",
--- a/kelpjunction/placement/stopping.py
+++ b/kelpjunction/placement/stopping.py
@@ -23,8 +23,60 @@
         return self.spec.priority
 
 
+class _Stops(NamedTuple):
+    """Whom to stop on a machine for one task, or None, and what the machine was like when that was found out."""
+
+    free: tuple[float, float, float]
+    victims: int
+    chosen: list[Victim] | None
+
+
+class Found:
+    """Whom to stop where, for the jobs of one round: those that ask for the same ask once of each machine.
+
+    A machine is asked again once what is free on it, or who may be stopped on
+    it, has changed.
+    """
+
+    def __init__(self, victims: dict[str, list[Victim]], rights: Rights) -> None:
+        self.victims = victims
+        self._rights = rights
+        self._known: dict[tuple, dict[str, _Stops]] = {}
+        self._stoppable: dict[tuple, dict[str, bool]] = {}  # by the job that victims are tasks of
+
+    def stops(self, spec: JobSpec, view: View) -> list[Victim] | None:
+        """The cheapest victims on a machine that make room for one task of a job; none may be needed."""
+        needs = (spec.cpus, spec.gpus, spec.memory, *self._rank(spec))
+        known = self._known.setdefault(needs, {})
+        there = self.victims.get(view.name, ())
+        free = (view.cpus, view.gpus, view.memory)
+        before = known.get(view.name)
+        if before is not None and before.free == free and before.victims == len(there):
+            return before.chosen
+        chosen = None
+        if there or view.has_room(spec):
+            chosen = _enough(spec, view, self._below(spec, there))
+        known[view.name] = _Stops(free, len(there), chosen)
+        return chosen
+
+    def _rank(self, spec: JobSpec) -> tuple:
+        """All of a job that decides whom it may stop."""
+        return spec.priority, spec.shape, self._rights.leftover(spec)
+
+    def _below(self, spec: JobSpec, victims: Iterable[Victim]) -> list[Victim]:
+        may = self._stoppable.setdefault(self._rank(spec), {})
+        below = []
+        for victim in victims:
+            ref = victim.spec.ref
+            if ref not in may:
+                may[ref] = self._rights.may_stop(spec, victim.spec)
+            if may[ref]:
+                below.append(victim)
+        return below
+
+
 def make_room(
-    spec: JobSpec, count: int, views: Iterable[View], victims: dict[str, list[Victim]], zones: Counter, rights: Rights
+    spec: JobSpec, count: int, views: Iterable[View], found: Found, zones: Counter
 ) -> list[tuple[View, list[Victim]]]:
     """Machines where up to `count` tasks of the job gain room at the least loss, and whom to stop there.
 
@@ -33,11 +85,7 @@
     """
 
     def score(view: View) -> tuple | None:
-        there = victims.get(view.name, ())
-        if not there and not view.has_room(spec):
-            return None
-        below = [v for v in there if rights.may_stop(spec, v.spec)]
-        chosen = _enough(spec, view, below)
+        chosen = found.stops(spec, view)
         if chosen is None:
             return None
         lost = sum((v.loss for v in chosen), timedelta()).total_seconds()
@@ -49,21 +97,21 @@
     able = [v for v in ours if allowed(spec, v.type, v.zone, v.spot) and not v.shunned and not v.kept]
     heap = [entry for entry in map(score, able) if entry is not None]
     heapq.heapify(heap)
-    found: list[tuple[View, list[Victim]]] = []
-    while heap and len(found) < count:
+    gained: list[tuple[View, list[Victim]]] = []
+    while heap and len(gained) < count:
         *_, view, chosen = heapq.heappop(heap)
         if zone_room(spec, zones, view.zone) <= 0:
             continue
         for victim in chosen:
-            victims[view.name].remove(victim)
+            found.victims[view.name].remove(victim)
             view.give_back(victim.spec)
         view.take(spec)
         zones[view.zone] += 1
-        found.append((view, chosen))
+        gained.append((view, chosen))
         again = score(view)
         if again is not None:
             heapq.heappush(heap, again)
-    return found
+    return gained
 
 
 def _enough(spec: JobSpec, view: View, victims: list[Victim]) -> list[Victim] | None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -6,7 +6,7 @@
 
 from kelpjunction.clock import ZERO
 from kelpjunction.fleet.demand import Offer, Want, to_rent
-from kelpjunction.placement import Budget, Victim, View, make_room, place, place_gang
+from kelpjunction.placement import Budget, Found, Victim, View, make_room, place, place_gang
 from kelpjunction.queue import Claim, Giants, Rights, Usage, Waiting, in_order, over_limit, shares
 from kelpjunction.settings import Team
 from kelpjunction.wire.messages import MachineType
@@ -102,7 +102,7 @@
         "n-2": [Victim("short", job(), timedelta(seconds=5))],
     }
     service = job(shape="service", urgency="prod")
-    chosen_view, chosen = make_room(service, 1, full, victims, Counter(), Rights({}, frozenset()))[0]
+    chosen_view, chosen = make_room(service, 1, full, Found(victims, Rights({}, frozenset())), Counter())[0]
     assert chosen_view.name == "n-2"
     assert [v.placement for v in chosen] == ["short"]
 
--- a/tests/test_room.py
+++ b/tests/test_room.py
@@ -1,6 +1,7 @@
 """The index of free room: it chooses what placement chose that looked at every machine, tie by tie."""
 
 from collections import Counter
+from dataclasses import replace
 from datetime import timedelta
 
 import plain_placement as plain
@@ -8,8 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from kelpjunction.placement import ANY_PRICE, Budget, FreeRoom, View, place, place_gang
-from kelpjunction.wire.messages import JobSpec, MachineType
+from kelpjunction.placement import ANY_PRICE, Budget, Found, FreeRoom, Victim, View, make_room, place, place_gang
+from kelpjunction.queue import Rights
+from kelpjunction.wire.messages import JobSpec, MachineType, Priority
 from kelpjunction.wire.users import parse_job
 
 BOOT = timedelta(seconds=30)
@@ -142,6 +144,34 @@
         assert state(kept) == state(listed)
 
 
+@st.composite
+def standing(draw, machine: int) -> list[Victim]:
+    """Tasks on a machine that might be stopped."""
+    found = []
+    for number in range(draw(st.integers(0, 3))):
+        spec = replace(draw(jobs()), ref=f"j-{machine}{number}", priority=draw(st.sampled_from(list(Priority))))
+        found.append(Victim(f"{machine}/{number}", spec, timedelta(seconds=draw(st.integers(0, 3)))))
+    return found
+
+
+@settings(max_examples=100)
+@given(
+    st.data(), machines(), st.lists(st.tuples(jobs(), st.sampled_from(list(Priority)), st.integers(1, 4)), max_size=5)
+)
+def test_who_is_stopped_is_whom_asking_every_machine_anew_names(data, fields, wanted):
+    """One round asks for several jobs, some of which ask for the same: what is known of a machine must not be stale."""
+    looked_at, kept = fresh(fields), fresh(fields)
+    victims = {v.name: data.draw(standing(number)) for number, v in enumerate(kept)}
+    rights = Rights({}, frozenset())
+    stops = Found({name: list(there) for name, there in victims.items()}, rights)
+    for spec, priority, count in wanted:
+        for same in (replace(spec, priority=priority), replace(spec, ref="j-8", priority=priority)):
+            expected = plain.make_room(same, count, looked_at, victims, Counter(), rights)
+            gained = make_room(same, count, kept, stops, Counter())
+            assert [(v.name, whom) for v, whom in gained] == [(v.name, whom) for v, whom in expected]
+            assert state(kept) == state(looked_at)
+
+
 changes = st.lists(
     st.tuples(st.sampled_from(("take", "give back", "hold", "let go", "drop", "put")), st.integers(0, 15)), max_size=20
 )
