Scale runs: one way for both stand-ins' processes to take orders; nothing is forgotten of a job

Cause: the two processes read and told lines in code that stood twice; an order to forget a job was sent by nobody, and would have hidden a late start.

--- a/kelpjunction/lab/scale/children.py
+++ b/kelpjunction/lab/scale/children.py
@@ -50,3 +50,26 @@
         self._process.kill()
         self._process.wait()
         self._reader.kill()
+
+
+class Orders:
+    """The other end, in the process that was started: its first line, and then orders until there are no more."""
+
+    def __init__(self) -> None:
+        self._lines = FileObjectPosix(sys.stdin.fileno(), "rb", close=False)
+        self.first: dict = orjson.loads(self._lines.readline())
+
+    def run(self, obey: Callable[[dict], None], *loops: Callable[[], None]) -> None:
+        """Obey each order while the loops go on; ends with the orders, or with an error in any of them."""
+
+        def read() -> None:
+            while line := self._lines.readline():
+                obey(orjson.loads(line))
+
+        gevent.joinall([gevent.spawn(loop) for loop in (read, *loops)], raise_error=True, count=1)
+
+
+def tell(fields: dict) -> None:
+    """Tell the run something."""
+    sys.stdout.buffer.write(orjson.dumps(fields) + b"\n")
+    sys.stdout.buffer.flush()
--- a/kelpjunction/lab/scale/hollow.py
+++ b/kelpjunction/lab/scale/hollow.py
@@ -6,13 +6,11 @@
 """
 
 import random
-import sys
 import time
 from datetime import timedelta
 
 import gevent
 import orjson
-from gevent.fileobject import FileObjectPosix
 from gevent.pywsgi import WSGIServer
 from gevent.socket import socket
 from geventhttpclient.client import HTTPClient
@@ -20,6 +18,7 @@
 
 from kelpjunction.clock import seconds
 from kelpjunction.lab.live import TICK, LiveClock
+from kelpjunction.lab.scale.children import Orders, tell
 from kelpjunction.lab.scale.messages import Batch, Event, EventKind, Order
 from kelpjunction.lab.serving import WORKER_TIMEOUT, machine_handle, serve
 from kelpjunction.lab.worker import WorkerStandIn
@@ -165,9 +164,6 @@
                 self._add(**machine)
         elif order is Order.JOB:
             self._jobs[fields["ref"]] = fields
-        elif order is Order.FORGET:
-            for ref in fields["refs"]:
-                self._jobs.pop(ref, None)
         elif order is Order.DIE:
             for name in fields["machines"]:
                 self._die(name)
@@ -218,27 +214,15 @@
             )
             self._events, self._gone, self._check_ins_ms, self._failed_check_ins = [], [], [], 0
             self._counted = Moved.total
-            sys.stdout.buffer.write(orjson.dumps(batch.fields()) + b"\n")
-            sys.stdout.buffer.flush()
+            tell(batch.fields())
 
 
 def main() -> None:
-    """Read the first line, which says who the controllers are, and then orders until there are no more."""
-    lines = FileObjectPosix(sys.stdin.fileno(), "rb", close=False)
-    first = orjson.loads(lines.readline())
-    times = WorkerTimes(**{name: seconds(value) for name, value in first["times"].items()})
-    workers = HollowWorkers(first["nodes"], times, first["seed"])
-    gevent.joinall(
-        [gevent.spawn(loop) for loop in (workers.step_forever, workers.tell_forever, lambda: _obey(workers, lines))],
-        raise_error=True,
-        count=1,
-    )
-
-
-def _obey(workers: HollowWorkers, lines: FileObjectPosix) -> None:
-    while line := lines.readline():
-        fields = orjson.loads(line)
-        workers.obey(Order(fields.pop("do")), fields)
+    """Be told who the controllers are, and then obey until there are no more orders."""
+    orders = Orders()
+    times = WorkerTimes(**{name: seconds(value) for name, value in orders.first["times"].items()})
+    workers = HollowWorkers(orders.first["nodes"], times, orders.first["seed"])
+    orders.run(lambda fields: workers.obey(Order(fields.pop("do")), fields), workers.step_forever, workers.tell_forever)
 
 
 if __name__ == "__main__":
--- a/kelpjunction/lab/scale/messages.py
+++ b/kelpjunction/lab/scale/messages.py
@@ -9,7 +9,6 @@
 
     ADD = "add"  # machines, each with its name, zone, kind, address and the time at which it is up
     JOB = "job"  # a job that was submitted: its tasks' run time, shape and saving
-    FORGET = "forget"  # jobs that are over
     DIE = "die"  # machines that are gone; told back once they are
     RESTART = "restart"  # the process of every worker ends and is back at once
 
--- a/kelpjunction/lab/scale/run.py
+++ b/kelpjunction/lab/scale/run.py
@@ -94,7 +94,12 @@
         self.meter.watch("state service", self._store.pid)
         self._hollow = [self._hollow_process(number) for number in range(plan.workers.processes)]
         self.users = Users(
-            plan, HttpTransport(USER_CONNECTIONS), self.controllers.addresses, self.checker, self.measures, self
+            plan,
+            HttpTransport(USER_CONNECTIONS),
+            self.controllers.addresses,
+            self.checker,
+            self.measures,
+            self.job_comes,
         )
 
     def _hollow_process(self, number: int) -> Child:
@@ -154,13 +159,11 @@
     # -- what users tell --------------------------------------------------------------
 
     def job_comes(self, job: dict, run_s: float) -> None:
+        """Tell every process of workers what the job's tasks do; never forgotten, so that a late start is seen."""
         fields = {"ref": job["ref"], "run_s": run_s, "shape": job["shape"], "mark_s": 0.0, "stow_s": 0.0}
         for child in self._hollow:
             child.tell({"do": Order.JOB} | fields)
 
-    def job_over(self, ref: str) -> None:
-        """Nothing is forgotten of a job yet: a late start would have to be told apart from an unknown one."""
-
     # -- playing ------------------------------------------------------------------------
 
     def play(self) -> None:
--- a/kelpjunction/lab/scale/state.py
+++ b/kelpjunction/lab/scale/state.py
@@ -4,13 +4,10 @@
 port.  Orders come on standard input, figures go to standard output.
 """
 
-import sys
-
 import gevent
-import orjson
-from gevent.fileobject import FileObjectPosix
 
 from kelpjunction.lab.live import TICK, LiveClock
+from kelpjunction.lab.scale.children import Orders, tell
 from kelpjunction.lab.serving import ServedStore, serve
 from kelpjunction.lab.store import StoreStandIn
 from kelpjunction.leadership import LEAD_KEY
@@ -69,25 +66,14 @@
                 "keys": len(self._store.data),
                 "leader": lead[0]["node"] if lead else None,
             }
-            sys.stdout.buffer.write(orjson.dumps(figures) + b"\n")
-            sys.stdout.buffer.flush()
+            tell(figures)
 
 
 def main() -> None:
-    """Read the first line, which says the ports and rates, and then orders until there are no more."""
-    lines = FileObjectPosix(sys.stdin.fileno(), "rb", close=False)
-    first = orjson.loads(lines.readline())
-    process = StateProcess(first["ports"], StoreLimits(**first["limits"]))
-    gevent.joinall(
-        [gevent.spawn(loop) for loop in (process.tick_forever, process.tell_forever, lambda: _obey(process, lines))],
-        raise_error=True,
-        count=1,
-    )
-
-
-def _obey(process: StateProcess, lines: FileObjectPosix) -> None:
-    while line := lines.readline():
-        process.obey(orjson.loads(line))
+    """Be told the ports and rates, and then obey until there are no more orders."""
+    orders = Orders()
+    process = StateProcess(orders.first["ports"], StoreLimits(**orders.first["limits"]))
+    orders.run(process.obey, process.tick_forever, process.tell_forever)
 
 
 if __name__ == "__main__":
--- a/kelpjunction/lab/scale/users.py
+++ b/kelpjunction/lab/scale/users.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from datetime import timedelta
 from itertools import count
-from typing import Protocol
 
 import gevent
 import orjson
@@ -29,14 +28,6 @@
 IMAGES = 20
 
 
-class Told(Protocol):
-    """Who must know of a job before its user submits it, and when it is over."""
-
-    def job_comes(self, job: dict, run_s: float) -> None: ...
-
-    def job_over(self, ref: str) -> None: ...
-
-
 class Users:
     """Submits, asks and cancels; every answer goes to the checker."""
 
@@ -47,14 +38,14 @@
         addresses: Callable[[], list[str]],
         checker: Checker,
         measures: Measures,
-        told: Told,
+        tell: Callable[[dict, float], None],
     ) -> None:
         self._plan = plan
         self._transport = transport
         self._addresses = addresses
         self._checker = checker
         self._measures = measures
-        self._told = told
+        self._tell = tell  # a job and its run time, before it is submitted
         self._random = random.Random(plan.seed)
         self._numbers = count(1)
         self._users = Group()
@@ -104,7 +95,7 @@
             "stow_s": 0.0,
         }
         cancel_after = self._cancel_after(load, run_s)
-        self._told.job_comes(job, run_s)
+        self._tell(job, run_s)
         self._checker.submitted(job)
         if load.urgency == URGENT:
             times = self._measures.first_urgent_start if first else self._measures.urgent_start
@@ -151,7 +142,6 @@
                 state = self._cancel(ref)
             else:
                 state = self._poll(ref)
-        self._told.job_over(ref)
 
     def _poll(self, ref: str) -> str | None:
         began = time.monotonic()
