Lab: one way to tell a node's number from its name; a method that nobody called is gone

Cause: the site and the hollow workers each read the number out of the name. Change: lab.node_settings.node_number serves both; Checker.state_of is removed. Measured: ruff clean; test_scale, test_lab and test_workers: 49 passed. The whole suite was not run after it.

--- a/kelpjunction/lab/node_settings.py
+++ b/kelpjunction/lab/node_settings.py
@@ -6,6 +6,12 @@
 from kelpjunction.settings import CloudLimits, StoreLimits, Team, WorkerTimes
 
 
+def node_number(node: str | None, count: int) -> int | None:
+    """The number of a lab's node by its name, of so many; None for one that is unknown."""
+    number = (node or "").removeprefix("holdfast-")
+    return int(number) if number.isdigit() and int(number) < count else None
+
+
 @dataclass(frozen=True, slots=True)
 class NodePlace:
     """A node's name, zone and addresses."""
--- a/kelpjunction/lab/scale/checker.py
+++ b/kelpjunction/lab/scale/checker.py
@@ -171,10 +171,6 @@
         """Jobs that were accepted and whose last answer is neither done nor cancelled."""
         return [ref for ref, state in self._told.items() if state not in (DONE, CANCELLED)]
 
-    def state_of(self, ref: str) -> str | None:
-        """What a job's user was told last."""
-        return self._told.get(ref)
-
 
 def _ref(frond: str) -> str:
     return frond.partition("/")[0]
--- a/kelpjunction/lab/scale/hollow.py
+++ b/kelpjunction/lab/scale/hollow.py
@@ -18,6 +18,7 @@
 
 from kelpjunction.clock import seconds
 from kelpjunction.lab.live import TICK, LiveClock
+from kelpjunction.lab.node_settings import node_number
 from kelpjunction.lab.scale.children import Orders, tell
 from kelpjunction.lab.scale.messages import Batch, Event, EventKind, Order
 from kelpjunction.lab.serving import WORKER_TIMEOUT, machine_handle, serve
@@ -148,8 +149,7 @@
 
     def number_of(self, node: str | None) -> int | None:
         """The number of a node by its name."""
-        number = (node or "").removeprefix("holdfast-")
-        return int(number) if number.isdigit() and int(number) < self.node_count else None
+        return node_number(node, self.node_count)
 
     def vary(self, spread: tuple[float, float]) -> float:
         """By how much a time differs, by the seed."""
--- a/kelpjunction/lab/site.py
+++ b/kelpjunction/lab/site.py
@@ -11,6 +11,7 @@
 from kelpjunction.lab.attendance import Attendance
 from kelpjunction.lab.cloud import CloudStandIn
 from kelpjunction.lab.idle import Idle
+from kelpjunction.lab.node_settings import node_number
 from kelpjunction.lab.rules import Standing, answer_violations, quota_violations, start_violations
 from kelpjunction.lab.serving import Refused
 from kelpjunction.lab.store import USUAL_LIMITS, StoreStandIn
@@ -186,8 +187,7 @@
 
     def number_of(self, node: str | None) -> int | None:
         """The number of a node by its name; None for one that is unknown."""
-        number = (node or "").removeprefix("holdfast-")
-        return int(number) if number.isdigit() and int(number) < self.node_count else None
+        return node_number(node, self.node_count)
 
     def vary(self, spread: tuple[float, float]) -> float:
         """By how much a time differs from what is said of it: between these two, by the seed."""
