Lab: exchanges with workers may run beside the answer to a report, seeded

Cause: in the simulated world whatever a node asked because of a report was answered before the report was; in a real process the answer goes first. No test could see what is decided while a question is open. Change: with interleaved, exchanges are greenlets that begin later, whose requests and replies take their time.

--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -66,7 +66,9 @@
         spawn: Callable,
         pause: Callable[[timedelta], None],
         random_source: random.Random,
+        spawn_exchange: Callable | None = None,
     ) -> None:
+        spawn_exchange = spawn_exchange or spawn  # for what is asked of workers and sent to them
         self.platform = platform
         self._transport = transport
         self.wake = Event()
@@ -94,7 +96,7 @@
             self.leadership,
             worker_transport,
             clock,
-            spawn,
+            spawn_exchange,
             self.wake.set,
             changes,
         )
@@ -110,7 +112,7 @@
             clock,
             blame,
             self.presence,
-            spawn,
+            spawn_exchange,
             random_source,
             changes,
         )
--- a/kelpjunction/lab/world.py
+++ b/kelpjunction/lab/world.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 from contextlib import suppress
 from datetime import UTC, datetime, timedelta
+from functools import partial
 from typing import NamedTuple
 
 import orjson
@@ -16,6 +17,7 @@
 from kelpjunction.clock import ZERO, seconds
 from kelpjunction.daemon import Node
 from kelpjunction.http import PEER_PATH
+from kelpjunction.lab.exchanges import Exchanges
 from kelpjunction.lab.site import CLOUD_LIMITS, GUEST, STORE_LIMITS, TEAMS, Site
 from kelpjunction.lab.worker import OneWay, WorkerStandIn
 from kelpjunction.leadership import Reign
@@ -58,7 +60,9 @@
 
     With `weather`, the seed moves what it moves in a world outside; without,
     everything takes its nominal time, so that traces can be read.  With
-    `store`, the state service refuses what is above its rates.
+    `store`, the state service refuses what is above its rates.  `interleaved`
+    nodes answer a report before what they ask and send because of it goes out,
+    as real processes do; else that comes first.
     """
 
     def __init__(
@@ -73,6 +77,7 @@
         day_speed: int = 1,
         store: StoreLimits | None = None,
         times: WorkerTimes | None = None,
+        interleaved: bool = False,
     ):
         super().__init__(SimClock(day_speed), seed, ("a", "b", "c"), teams or TEAMS, capacity)
         self.times = times or self.times
@@ -95,6 +100,7 @@
         self.stand_still: Callable[[str, str, str], float] = lambda source, target, path: 0.0
         self.frozen: set[str] = set()
         self._waiting: dict[str, list[Callable]] = {}  # packets for nodes that stand still
+        self._exchanges = Exchanges(self, seed) if interleaved else None
         self.nodes: dict[str, Node | None] = {}
         for i in range(machines):
             self.cloud.add(self.zones[i % 3], False, self.clock.now)
@@ -118,11 +124,24 @@
         transport = _Link(self, name)
         node = Node(
             self.platform(name), self.operators, transport, transport, transport, self.clock,
-            lambda function, *args: function(*args), lambda duration: None, random.Random(self.random.random()),
+            _at_once, lambda duration: None, random.Random(self.random.random()),
+            partial(self._exchanges.spawn, name) if self._exchanges else _at_once,
         )  # fmt: skip
         self.nodes[name] = node
         return node
 
+    def life(self, node: str) -> Node | None:
+        return self.nodes[node]
+
+    def when_running(self, node: str, act: Callable[[], None]) -> None:
+        if node in self.frozen:
+            self._waiting.setdefault(node, []).append(act)
+        else:
+            act()
+
+    def now(self) -> timedelta:
+        return self.clock.now
+
     def kill_node(self, name: str) -> None:
         """End a node's process; packets that waited in its sockets are gone with it."""
         self.nodes[name] = None
@@ -155,8 +174,11 @@
 
     def later(self, duration: float, act: Callable[[], None]) -> None:
         if duration:
-            self._late_number += 1
-            heapq.heappush(self.late, (self.clock.now + seconds(duration), self._late_number, act))
+            self.at(self.clock.now + seconds(duration), act)
+
+    def at(self, moment: timedelta, act: Callable[[], None]) -> None:
+        self._late_number += 1
+        heapq.heappush(self.late, (moment, self._late_number, act))
 
     def leader(self) -> Node | None:
         for node in self.nodes.values():
@@ -385,7 +407,16 @@
 
     def request(self, address: str, method: str, path: str, body: bytes | None, timeout: timedelta) -> Reply:
         fields = orjson.loads(body) if body else {}
-        return self._world.deliver(self._name, address, method, path, fields)
+
+        def handle() -> Reply:
+            return self._world.deliver(self._name, address, method, path, fields)
+
+        exchanges = self._world._exchanges
+        return handle() if exchanges is None else exchanges.carry(handle, timeout)
+
+
+def _at_once(function: Callable, *args) -> None:
+    function(*args)
 
 
 __all__ = ["GUEST", "ZERO", "Team", "World", "seconds"]
--- a/tests/schedules.py
+++ b/tests/schedules.py
@@ -11,8 +11,8 @@
 class Schedule:
     """Random jobs, cancellations and faults; the world checks the rules."""
 
-    def __init__(self, seed: int) -> None:
-        self.world = World(seed=seed, machines=6, capacity=9)
+    def __init__(self, seed: int, interleaved: bool = False) -> None:
+        self.world = World(seed=seed, machines=6, capacity=9, interleaved=interleaved)
         self.random = self.world.random
         self.refs: list[str] = []
         self.loss = self.late_writes = self.unheard = 0.0
