Workers: names of the field for evidence, reachability and tokens that are uncertain

Cause: Word, Reach, deaf, doubt and hail needed explaining. Change: Evidence (stale, claim, proof), Reachability (unknown, reachable, unreachable), uncertain_token, show_token, zones_to_raise; the metric kelpjunction_workers_deaf keeps its name, since dashboards use it.

--- a/kelpjunction/fleet/watch.py
+++ b/kelpjunction/fleet/watch.py
@@ -22,7 +22,7 @@
 from kelpjunction.store.client import Ending, StoreClient, StoreDown, Transaction
 from kelpjunction.store.mirror import Mirror
 from kelpjunction.wire.messages import Cause, Report
-from kelpjunction.workers.contact import Reach
+from kelpjunction.workers.contact import Reachability
 from kelpjunction.workers.roster import Roster
 
 log = logging.getLogger("fleet")
@@ -83,19 +83,19 @@
             self._roster.settle_machine(machine)  # returned while nobody held the block
         there = [m for m in self._inventory.machines.values() if m.zone == zone and m.address]
         there = [m for m in there if m.state is not MachineState.RETURNING]
-        hailed = set(self._random.sample([m.name for m in there], min(PROBED, len(there))))
+        shown = set(self._random.sample([m.name for m in there], min(PROBED, len(there))))
         for machine in there:
-            self._spawn(self._greet, machine, machine.name in hailed)
+            self._spawn(self._greet, machine, machine.name in shown)
 
-    def _greet(self, machine: Machine, hail: bool) -> None:
+    def _greet(self, machine: Machine, show_token: bool) -> None:
         """Ask a new block's worker how it stands; some are shown our token too.
 
         Whoever held the block may have lost the state service and the other
         nodes, but not these workers: they go on reporting to it, and it finds
         out from them.
         """
-        if self._roster.visit(machine.name, machine.address) is not False and hail:
-            self._roster.hail(machine.name)
+        if self._roster.visit(machine.name, machine.address) is not False and show_token:
+            self._roster.show_token(machine.name)
 
     def mine(self) -> list[Machine]:
         zones = set(self._blocks.my_zones())
@@ -151,7 +151,7 @@
         for machine in mine:
             worker = self._roster.workers.get(machine.name)
             proved_at = worker.contact.proved_at if worker else None
-            deaf = worker is not None and worker.contact.reach is Reach.DEAF
+            deaf = worker is not None and worker.contact.reachability is Reachability.UNREACHABLE
             # While this node stood still, nobody could be heard.
             since = max(proved_at or self._blocks.mine(machine.zone).since, self._presence.since)
             if now - since <= limit and not deaf:
--- a/kelpjunction/jobs/holding.py
+++ b/kelpjunction/jobs/holding.py
@@ -38,7 +38,7 @@
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Transaction
 from kelpjunction.wire.messages import Cause, JobSpec, Shape, TaskId
-from kelpjunction.workers.contact import Reach
+from kelpjunction.workers.contact import Reachability
 from kelpjunction.workers.roster import Roster
 
 log = logging.getLogger("jobs")
@@ -108,9 +108,9 @@
 
     def _raise_doubted(self) -> None:
         """Raise the token of blocks where a command may still be under way."""
-        zones = sorted(self._roster.bump_zones)
+        zones = sorted(self._roster.zones_to_raise)
         if zones and self._blocks.raise_tokens(zones):
-            self._roster.bump_zones.difference_update(zones)
+            self._roster.zones_to_raise.difference_update(zones)
 
     def _guarded(self, job: Job, zones: set[str], purpose: Purpose | None = None) -> Transaction:
         """A transaction that fails if the job was cancelled, or a block is not ours any more."""
@@ -461,7 +461,9 @@
         """A machine that reports to us and is not about to be taken."""
         worker, machine = self._roster.workers.get(name), self._fleet.machines.get(name)
         type_ = self._fleet.catalog.get(machine.type) if machine else None
-        if worker is None or type_ is None or not machine.usable or worker.contact.reach is not Reach.REACHED:
+        if worker is None or type_ is None or not machine.usable:
+            return None
+        if worker.contact.reachability is not Reachability.REACHABLE:
             return None
         images = cached(reversed(worker.images.items()), type_.cache_gb)
         return view_of(machine, type_, images, self._book.load(name), self._fleet)
--- a/kelpjunction/metrics.py
+++ b/kelpjunction/metrics.py
@@ -41,7 +41,8 @@
         yield GaugeMetricFamily("kelpjunction_jobs_waiting", "Jobs with tasks to hand over.", len(node.book.waiting))
         yield GaugeMetricFamily("kelpjunction_blocks_held", "Blocks that this node holds.", len(node.blocks.my_zones()))
         yield GaugeMetricFamily("kelpjunction_workers", "Workers that report to this node.", len(node.roster.workers))
-        yield GaugeMetricFamily("kelpjunction_workers_deaf", "Of those, not reached from here.", node.roster.deaf())
+        unreachable = node.roster.unreachable()
+        yield GaugeMetricFamily("kelpjunction_workers_deaf", "Of those, not reached from here.", unreachable)
         yield CounterMetricFamily("kelpjunction_store_requests", "Sent to the state service.", node.store.requests)
         yield CounterMetricFamily("kelpjunction_store_refusals", "Of those, answered 429.", node.store.refusals)
         budget = node.store.budget
--- a/kelpjunction/workers/answers.py
+++ b/kelpjunction/workers/answers.py
@@ -13,7 +13,7 @@
 
 from kelpjunction.jobs.book import Placement
 from kelpjunction.wire.messages import Command, Report, TaskId, TaskReport, TaskState, Verb
-from kelpjunction.workers.contact import Word
+from kelpjunction.workers.contact import Evidence
 
 
 class Refusal(Enum):
@@ -82,15 +82,15 @@
     missing: list[Placement] = field(default_factory=list)  # of this very session, and not listed
 
 
-def read(report: Report, word: Word, session: int, here: Mapping[TaskId, Placement]) -> Reading:
+def read(report: Report, evidence: Evidence, session: int, here: Mapping[TaskId, Placement]) -> Reading:
     """Take a message for what it is worth; `session` is the one believed so far, `here` what stands on the machine.
 
     What a claim lacks settles nothing: a copy from before the worker's process was started again may name a
     higher session, or the very next number.
     """
-    if word is Word.OLD:
+    if evidence is Evidence.STALE:
         return Reading(believed=False)
-    if word is Word.CLAIM and session and report.session != session:
+    if evidence is Evidence.CLAIM and session and report.session != session:
         return Reading(believed=False, ask=True)
     reading = Reading(believed=True)
     for told in report.tasks:
@@ -99,7 +99,7 @@
             reading.listed.append((placement, told))
     listed = {placement for placement, _ in reading.listed}
     unlisted = [placement for placement in here.values() if placement not in listed]
-    if word is Word.CLAIM:
+    if evidence is Evidence.CLAIM:
         reading.ask = any(p.seen or not p.live for p in unlisted)
         return reading
     for placement in unlisted:
--- a/kelpjunction/workers/contact.py
+++ b/kelpjunction/workers/contact.py
@@ -15,24 +15,24 @@
 from kelpjunction.clock import seconds
 
 PATIENCE = seconds(4.5)  # a worker drops what answers a report after 4 s
-DEAF_AFTER = 2  # requests in turn without an answer, and no other proof between them
-PROOFS = 2  # that a deaf worker must give, a report's time apart, before it counts again
+UNREACHABLE_AFTER = 2  # requests in turn without an answer, and no other proof between them
+PROOFS = 2  # that an unreachable worker must give, a report's time apart, before it counts again
 
 Number = tuple[int, int]  # session and sequence: the larger one is the newer message
 
 
-class Reach(Enum):
-    """UNASKED -> REACHED <-> DEAF; `Contact._stand` makes every change."""
+class Reachability(Enum):
+    """UNKNOWN -> REACHABLE <-> UNREACHABLE; `Contact._stand` makes every change."""
 
-    UNASKED = "unasked"  # heard of, by what may be a copy; nothing has reached it from here yet
-    REACHED = "reached"
-    DEAF = "deaf"  # whatever its reports say, nothing sent to it is answered
+    UNKNOWN = "unknown"  # heard of, by what may be a copy; nothing has reached it from here yet
+    REACHABLE = "reachable"
+    UNREACHABLE = "unreachable"  # whatever its reports say, nothing sent to it is answered
 
 
-class Word(Enum):
+class Evidence(Enum):
     """What a message is worth."""
 
-    OLD = "old"  # not newer than what is known: nothing of it counts
+    STALE = "stale"  # not newer than what is known: nothing of it counts
     CLAIM = "claim"  # newer, but perhaps itself a copy from the past: what it lacks may be there all the same
     PROOF = "proof"  # how things stand now
 
@@ -42,30 +42,30 @@
     """A worker's numbers, and whether it is reached."""
 
     report: timedelta  # how often workers report
-    reach: Reach = Reach.UNASKED
+    reachability: Reachability = Reachability.UNKNOWN
     newest: Number = (0, 0)
     # The messages of the last moments, and one before: by number, when they came.
     lately: deque[tuple[Number, timedelta]] = field(default_factory=deque)
     proved_at: timedelta | None = None  # the last round trip
     failures: int = 0  # requests in turn without an answer
-    proofs: int = 0  # since it was deaf
+    proofs: int = 0  # since it was unreachable
     restarted: bool = False  # its numbers began anew: copies of its life before may be larger
 
-    def heard(self, number: Number, now: timedelta) -> Word:
+    def heard(self, number: Number, now: timedelta) -> Evidence:
         """A report came.
 
         Of a worker that began anew none counts: what it answers when it is asked does.
         """
         if self.restarted or number <= self.newest:
-            return Word.OLD
+            return Evidence.STALE
         # Directly behind a message that we answered, or that answered us.
-        follows = self.newest == (number[0], number[1] - 1) and self.reach is Reach.REACHED
+        follows = self.newest == (number[0], number[1] - 1) and self.reachability is Reachability.REACHABLE
         self._note(number, now)
         if follows:
             self._prove(now)
-        return Word.CLAIM
+        return Evidence.CLAIM
 
-    def replied(self, number: Number, asked: Number, now: timedelta) -> tuple[Word, bool]:
+    def replied(self, number: Number, asked: Number, now: timedelta) -> tuple[Evidence, bool]:
         """An answer to a request of ours came; `asked` is what was the newest when that was sent.
 
         Returns its worth, and whether the worker began anew: what it says to a
@@ -75,34 +75,34 @@
         if not began_anew and number <= self.newest:
             # Others overtook it; that it came proves as much all the same.
             self._prove(now)
-            return Word.OLD, False
+            return Evidence.STALE, False
         self.restarted = self.restarted or began_anew
         if began_anew:
             self.lately.clear()
         self._note(number, now)
         self._prove(now)
-        return Word.PROOF, began_anew
+        return Evidence.PROOF, began_anew
 
     def unanswered(self) -> None:
         """A request of ours got no answer."""
         self.failures += 1
         self.proofs = 0
-        if self.failures >= DEAF_AFTER:
-            self._stand(Reach.DEAF)
+        if self.failures >= UNREACHABLE_AFTER:
+            self._stand(Reachability.UNREACHABLE)
 
     def _prove(self, now: timedelta) -> None:
-        if self.reach is Reach.DEAF:
+        if self.reachability is Reachability.UNREACHABLE:
             if self.proofs and now - self.proved_at < self.report:
                 return  # too soon behind the first to say more than that did
             self.proofs += 1
         self.proved_at, self.failures = now, 0
-        if self.reach is not Reach.DEAF or self.proofs >= PROOFS:
-            self._stand(Reach.REACHED)
+        if self.reachability is not Reachability.UNREACHABLE or self.proofs >= PROOFS:
+            self._stand(Reachability.REACHABLE)
 
-    def _stand(self, reach: Reach) -> None:
-        """The one place where `reach` changes."""
-        if reach is not self.reach:
-            self.reach, self.proofs = reach, 0
+    def _stand(self, reachability: Reachability) -> None:
+        """The one place where `reachability` changes."""
+        if reachability is not self.reachability:
+            self.reachability, self.proofs = reachability, 0
 
     def wants_asking(self, now: timedelta) -> bool:
         """Whether nothing shows at this moment that it is reached."""
@@ -111,7 +111,7 @@
     @property
     def lost(self) -> bool:
         """Whether nothing reaches it: who has answered once is not given up again at once."""
-        return self.reach is Reach.DEAF and not self.proofs
+        return self.reachability is Reachability.UNREACHABLE and not self.proofs
 
     def may_wait(self, number: Number, now: timedelta) -> bool:
         """Whether the sender of this report may still wait for its answer, which would then renew its lease.
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -18,7 +18,7 @@
 from kelpjunction.wire.messages import Cause, Command, Report, TaskId, TaskReport, TaskState, Verb
 from kelpjunction.wire.users import Malformed
 from kelpjunction.workers.answers import Entitlement, Known, Refusal, answer, read, refuse_block, refuse_report
-from kelpjunction.workers.contact import PATIENCE, Contact, Number, Reach, Word
+from kelpjunction.workers.contact import PATIENCE, Contact, Evidence, Number, Reachability
 
 log = logging.getLogger("workers")
 
@@ -45,7 +45,7 @@
     heard_at: timedelta = ZERO
     answered_at: timedelta | None = None  # when its lease was last renewed, at the latest
     notice_at: timedelta | None = None  # when the cloud takes the machine, as announced
-    doubt: int = 0  # commands under tokens up to this one may still arrive
+    uncertain_token: int = 0  # commands under tokens up to this one may still arrive
     sending: Counter[tuple[TaskId, int]] = field(default_factory=Counter)  # attempts of commands without an answer yet
     tasks: dict[TaskId, list[TaskReport]] = field(default_factory=dict)
     images: dict[str, float] = field(default_factory=dict)  # most recently used last
@@ -84,7 +84,7 @@
         self.starts = self.stops = 0  # sent straight to workers since this process began
         self.settled: Counter[Cause] = Counter()
         self.refused: Counter[Refusal] = Counter()  # reports that got no 200
-        self.bump_zones: set[str] = set()
+        self.zones_to_raise: set[str] = set()
         # Blocks of which a worker has seen a higher token than the one here:
         # they are another's, though no news of it has come in.  All their
         # workers are sent away, so that they find that one in time.
@@ -98,7 +98,7 @@
         """A block came or went: what was known of its workers before does not count."""
         for machine in [n for n, w in self.workers.items() if w.zone == zone]:
             self._drop(machine)
-        self.bump_zones.discard(zone)
+        self.zones_to_raise.discard(zone)
 
     # -- check-ins ----------------------------------------------------------
 
@@ -114,8 +114,8 @@
         now = self._clock.steady()
         number = (report.session, report.sequence)
         worker = self._worker(report)
-        word = worker.contact.heard(number, now)
-        ask = self._take(worker, report, word, now)
+        evidence = worker.contact.heard(number, now)
+        ask = self._take(worker, report, evidence, now)
         may_wait = worker.contact.may_wait(number, now)
         if (ask or worker.contact.wants_asking(now)) and may_wait:
             self._spawn(self.visit, worker.machine, worker.address)
@@ -124,7 +124,7 @@
             return self._refuse(refusal)
         worker.answered_at = now
         told = answer(
-            report.session, worker.told(), self._book.on(worker.machine), worker.sending, token > worker.doubt
+            report.session, worker.told(), self._book.on(worker.machine), worker.sending, token > worker.uncertain_token
         )
         for placement in told.starts:
             placement.advance(Phase.STARTED, now)
@@ -151,15 +151,15 @@
             # Commands of earlier holders may still be under way, under any
             # token below ours.
             worker = Worker(report.machine, report.address, report.zone, Contact(self._times.report))
-            worker.doubt = (self._blocks.token(report.zone) or 1) - 1
+            worker.uncertain_token = (self._blocks.token(report.zone) or 1) - 1
             worker.images = dict.fromkeys(self.images_of(report.machine), 0.0)
             self.workers[report.machine] = worker
             self._changes.note(report.machine)
         return worker
 
-    def _take(self, worker: Worker, report: Report, word: Word, now: timedelta) -> bool:
+    def _take(self, worker: Worker, report: Report, evidence: Evidence, now: timedelta) -> bool:
         """Take in a message for what it is worth; whether the worker should be asked about what it said."""
-        reading = read(report, word, worker.session, self._book.on(worker.machine))
+        reading = read(report, evidence, worker.session, self._book.on(worker.machine))
         if not reading.believed:
             return reading.ask
         new_session = report.session != worker.session
@@ -176,7 +176,7 @@
         worker.tasks = {}
         for told in report.tasks:
             worker.tasks.setdefault(told.task, []).append(told)
-        if worker.contact.reach is Reach.REACHED:
+        if worker.contact.reachability is Reachability.REACHABLE:
             self.on_seen(report)
         for placement, told in reading.listed:
             self._hear(worker, placement, told, now)
@@ -202,15 +202,15 @@
 
     def _nothing_under_way(self, worker: Worker) -> bool:
         """Whether no command of before can reach the worker any more; if it can for ever, a higher token ends that."""
-        if worker.doubt >= (self._blocks.token(worker.zone) or 0):
-            self.bump_zones.add(worker.zone)
-        return worker.token > worker.doubt
+        if worker.uncertain_token >= (self._blocks.token(worker.zone) or 0):
+            self.zones_to_raise.add(worker.zone)
+        return worker.token > worker.uncertain_token
 
     def _begin_anew(self, worker: Worker, report: Report) -> None:
         """The worker's process was started again: all it had is gone, and starts sent to it before may still arrive."""
         log.info("worker %s counts from the beginning again", worker.machine)
         worker.token = report.token
-        worker.doubt = max(worker.doubt, self._blocks.token(worker.zone) or 0)
+        worker.uncertain_token = max(worker.uncertain_token, self._blocks.token(worker.zone) or 0)
 
     def _hear(self, worker: Worker, placement: Placement, told: TaskReport, now: timedelta) -> None:
         placement.seen = True
@@ -305,14 +305,14 @@
             worker.sending.subtract((p.task, p.attempt) for p in group)
             worker.sending = +worker.sending
             if not answered:
-                worker.doubt = max(worker.doubt, token)
-                self.bump_zones.add(worker.zone)
+                worker.uncertain_token = max(worker.uncertain_token, token)
+                self.zones_to_raise.add(worker.zone)
 
     def _post(self, worker: Worker, token: int, session: int, commands: list[Command]) -> bool:
         body = wire.commands_body(token, session, commands)
         return self._request(worker.machine, worker.address, "POST", wire.COMMANDS_PATH, body, DIRECT_TIMEOUT)
 
-    def hail(self, machine: str) -> None:
+    def show_token(self, machine: str) -> None:
         """Show a worker this node's token: whoever had its block before learns of it from its reports."""
         worker = self.workers.get(machine)
         token = self._blocks.token(worker.zone) if worker else None
@@ -345,9 +345,9 @@
             if path == wire.COMMANDS_PATH:
                 log.info("commands to %s: no answer (%s)", machine, error)
             if worker := self.workers.get(machine):
-                reach = worker.contact.reach
+                before = worker.contact.reachability
                 worker.contact.unanswered()
-                self._note_reach(worker, reach)
+                self._note_reachability(worker, before)
             return False
         try:
             report = wire.report_from_fields(reply.fields)
@@ -361,27 +361,28 @@
     def _take_reply(self, report: Report, asked: Number) -> None:
         """Take in a worker's answer; `asked` is the newest that was known of it when it was asked."""
         worker, now = self._worker(report), self._clock.steady()
-        reach = worker.contact.reach
-        word, began_anew = worker.contact.replied((report.session, report.sequence), asked, now)
+        before = worker.contact.reachability
+        evidence, began_anew = worker.contact.replied((report.session, report.sequence), asked, now)
         if began_anew:
             self._begin_anew(worker, report)
-        self._note_reach(worker, reach)
-        self._take(worker, report, word, now)
+        self._note_reachability(worker, before)
+        self._take(worker, report, evidence, now)
 
-    def _note_reach(self, worker: Worker, before: Reach) -> None:
-        """Name a worker that is not reached any more, or is again, and have it judged anew."""
-        reach = worker.contact.reach
-        if reach is before:
+    def _note_reachability(self, worker: Worker, before: Reachability) -> None:
+        """Log a worker that is not reached any more, or is again, and have it judged anew."""
+        reachability = worker.contact.reachability
+        if reachability is before:
             return
-        if Reach.DEAF in (reach, before):
-            how = "is not reached: what is sent to it gets no answer" if reach is Reach.DEAF else "is reached again"
-            log.info("worker %s %s", worker.machine, how)
+        if reachability is Reachability.UNREACHABLE:
+            log.info("worker %s is not reached: what is sent to it gets no answer", worker.machine)
+        elif before is Reachability.UNREACHABLE:
+            log.info("worker %s is reached again", worker.machine)
         self._changes.note(worker.machine)
         self._wake()
 
-    def deaf(self) -> int:
+    def unreachable(self) -> int:
         """How many workers report here or did, and are not reached."""
-        return sum(worker.contact.reach is Reach.DEAF for worker in self.workers.values())
+        return sum(worker.contact.reachability is Reachability.UNREACHABLE for worker in self.workers.values())
 
     # -- leases -------------------------------------------------------------
 
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -16,7 +16,7 @@
     refuse_block,
     refuse_report,
 )
-from kelpjunction.workers.contact import Word
+from kelpjunction.workers.contact import Evidence
 
 TASK = TaskId("j-1", 0)
 
@@ -95,33 +95,33 @@
 
 
 @pytest.mark.parametrize(
-    ("word", "known_session", "stands", "field"),
+    ("evidence", "known_session", "stands", "field"),
     [
-        (Word.PROOF, 2, placement(), "missing"),
-        (Word.PROOF, 1, placement(session=1), "ended"),
-        (Word.PROOF, 2, placement(session=3), "of_another_life"),
-        (Word.CLAIM, 2, placement(seen=True), None),  # what a claim lacks settles nothing
+        (Evidence.PROOF, 2, placement(), "missing"),
+        (Evidence.PROOF, 1, placement(session=1), "ended"),
+        (Evidence.PROOF, 2, placement(session=3), "of_another_life"),
+        (Evidence.CLAIM, 2, placement(seen=True), None),  # what a claim lacks settles nothing
     ],
 )
-def test_what_a_message_says_of_a_task_that_it_does_not_list(word, known_session, stands, field):
-    reading = read(report(), word, known_session, {TASK: stands})
+def test_what_a_message_says_of_a_task_that_it_does_not_list(evidence, known_session, stands, field):
+    reading = read(report(), evidence, known_session, {TASK: stands})
     assert reading.believed
-    assert reading.ask is (word is Word.CLAIM)
+    assert reading.ask is (evidence is Evidence.CLAIM)
     for name in ("ended", "of_another_life", "missing"):
         assert getattr(reading, name) == ([stands] if name == field else [])
 
 
 @pytest.mark.parametrize(
-    ("word", "known_session", "believed", "ask"),
+    ("evidence", "known_session", "believed", "ask"),
     [
-        (Word.OLD, 2, False, False),
-        (Word.CLAIM, 1, False, True),  # of another session: asked about first
-        (Word.CLAIM, 0, True, False),  # the first that is heard of a worker
-        (Word.CLAIM, 2, True, False),
-        (Word.PROOF, 1, True, False),
+        (Evidence.STALE, 2, False, False),
+        (Evidence.CLAIM, 1, False, True),  # of another session: asked about first
+        (Evidence.CLAIM, 0, True, False),  # the first that is heard of a worker
+        (Evidence.CLAIM, 2, True, False),
+        (Evidence.PROOF, 1, True, False),
     ],
 )
-def test_which_message_counts(word, known_session, believed, ask):
-    reading = read(report(tasks=(told(TaskState.RUNNING),)), word, known_session, {TASK: placement()})
+def test_which_message_counts(evidence, known_session, believed, ask):
+    reading = read(report(tasks=(told(TaskState.RUNNING),)), evidence, known_session, {TASK: placement()})
     assert (reading.believed, reading.ask) == (believed, ask)
     assert [p.attempt for p, _ in reading.listed] == ([3] if believed else [])
--- a/tests/test_contact.py
+++ b/tests/test_contact.py
@@ -9,7 +9,7 @@
 from kelpjunction.jobs.book import Phase
 from kelpjunction.lab.worker import OneWay
 from kelpjunction.wire.messages import TaskId
-from kelpjunction.workers.contact import Contact, Reach, Word
+from kelpjunction.workers.contact import Contact, Evidence, Reachability
 
 
 def holder_of(world, worker):
@@ -70,7 +70,7 @@
     assert world.run(20, lambda: not holder.inventory.machines[worker.name].usable)
     world.run(10)
     contact = holder.roster.workers[worker.name].contact
-    assert contact.reach is Reach.DEAF
+    assert contact.reachability is Reachability.UNREACHABLE
     worker.one_way = None
     assert world.run(20, lambda: contact.proofs == 1)
     assert not holder.inventory.machines[worker.name].usable, "once may be chance"
@@ -164,29 +164,29 @@
 
 def test_contact_believes_round_trips():
     contact = Contact(seconds(2))
-    assert contact.heard((1, 1), seconds(0)) is Word.CLAIM, "the first report may be a copy"
-    assert contact.replied((1, 2), (1, 1), seconds(0)) == (Word.PROOF, False)
-    assert contact.heard((1, 3), seconds(2)) is Word.CLAIM
+    assert contact.heard((1, 1), seconds(0)) is Evidence.CLAIM, "the first report may be a copy"
+    assert contact.replied((1, 2), (1, 1), seconds(0)) == (Evidence.PROOF, False)
+    assert contact.heard((1, 3), seconds(2)) is Evidence.CLAIM
     assert not contact.wants_asking(seconds(2)), "it stayed, so it had our answer"
-    assert contact.heard((1, 5), seconds(8)) is Word.CLAIM
+    assert contact.heard((1, 5), seconds(8)) is Evidence.CLAIM
     assert contact.wants_asking(seconds(8)), "it has been elsewhere meanwhile"
-    assert contact.heard((1, 4), seconds(9)) is Word.OLD
-    assert contact.replied((1, 4), (1, 5), seconds(9)) == (Word.PROOF, True), "asked now, it counts from before"
-    assert contact.heard((1, 6), seconds(9)) is Word.OLD, "copies of its life before may count higher"
+    assert contact.heard((1, 4), seconds(9)) is Evidence.STALE
+    assert contact.replied((1, 4), (1, 5), seconds(9)) == (Evidence.PROOF, True), "asked now, it counts from before"
+    assert contact.heard((1, 6), seconds(9)) is Evidence.STALE, "copies of its life before may count higher"
 
 
 def test_contact_gives_up_and_takes_back_with_hysteresis():
     contact = Contact(seconds(2))
     contact.replied((1, 1), (0, 0), seconds(0))
     contact.unanswered()
-    assert contact.reach is Reach.REACHED
+    assert contact.reachability is Reachability.REACHABLE
     contact.unanswered()
-    assert contact.reach is Reach.DEAF and contact.lost
+    assert contact.reachability is Reachability.UNREACHABLE and contact.lost
     contact.replied((1, 2), (1, 1), seconds(5))
     contact.replied((1, 3), (1, 2), seconds(6))
-    assert contact.reach is Reach.DEAF and not contact.lost
+    assert contact.reachability is Reachability.UNREACHABLE and not contact.lost
     contact.replied((1, 4), (1, 3), seconds(7))
-    assert contact.reach is Reach.REACHED
+    assert contact.reachability is Reachability.REACHABLE
 
 
 def test_machine_behind_a_one_way_loss_is_named_for_what_it_is(caplog):
@@ -196,7 +196,7 @@
     worker.one_way = OneWay.DEAF
     holder = holder_of(world, worker)
     assert world.run(20, lambda: holder.inventory.machines[worker.name].state is MachineState.RETURNING)
-    assert holder.roster.deaf() == 1
+    assert holder.roster.unreachable() == 1
     assert f"worker {worker.name} is not reached: what is sent to it gets no answer" in caplog.messages
 
 
@@ -327,7 +327,7 @@
     assert status == 200 and b"run" in answer, "this answer is under way"
     placement = next(holder.book.placements())
     holder.roster.stop(placement, seconds(0), "a trace")
-    holder.roster.workers[worker.name].doubt = 0
+    holder.roster.workers[worker.name].uncertain_token = 0
     holder.roster.visit(worker.name, worker.address)
     assert holder.book.jobs["j-1"].placed_count() == 1 and placement.phase is not Phase.SETTLED
     world.clock.now += seconds(5)
