Recorder: the last decisions of a node, with what they rest on, in a ring and in the log

Cause: nothing that was kept of the incident named a session as a controller believed it, nor why a start was said or an attempt settled. Change: sessions, starts (by way), stops, settlements (by ground), refused reports, grants, standings and confirmed cancellations are typed events with token, session, attempt and record's version; sessions that change, grants, standings and abnormal ends are in the log at info, all others in a ring of 4,096 that SIGUSR1 writes out. A worker that proves an attempt which was settled, or which is elsewhere too, has what led to it written out. Counters by ground and way in the metrics.

--- a/kelpjunction/blocks/__init__.py
+++ b/kelpjunction/blocks/__init__.py
@@ -18,9 +18,11 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from kelpjunction.blocks.events import GrantChange, GrantChanged
 from kelpjunction.budget import Purpose
 from kelpjunction.clock import Clock
 from kelpjunction.leadership import LEAD_KEY, Reign
+from kelpjunction.recorder import Recorder
 from kelpjunction.store.client import Ending, StoreClient
 from kelpjunction.store.mirror import Mirror
 
@@ -67,7 +69,10 @@
 class Blocks:
     """All grants, as the state service has them."""
 
-    def __init__(self, node: str, incarnation: str, store: StoreClient, mirror: Mirror, clock: Clock) -> None:
+    def __init__(
+        self, node: str, incarnation: str, store: StoreClient, mirror: Mirror, clock: Clock, recorder: Recorder
+    ) -> None:
+        self._recorder = recorder
         self._me = (node, incarnation)
         self._store = store
         self._mirror = mirror
@@ -96,11 +101,26 @@
             self.grants[zone] = Grant(zone, *holder, value["term"], token, version, since)
         has = self.mine(zone) is not None
         if had and not same:
-            log.info("this node holds block %s no longer", zone)
+            self._note(GrantChange.LOST, old)
             self.on_loss(zone)
         if has and not (had and same):
-            log.info("this node holds block %s under token %d", zone, self.grants[zone].token)
+            self._note(GrantChange.GAINED, self.grants[zone])
             self.on_gain(zone)
+        elif has and old.token != self.grants[zone].token:
+            self._note(GrantChange.RAISED, self.grants[zone])
+
+    def _note(self, change: GrantChange, grant: Grant) -> None:
+        """Keep a change of what this node holds, with the revision up to which it has read."""
+        self._recorder.note(
+            GrantChanged(
+                change, grant.zone, grant.holder, grant.incarnation, grant.term, grant.token, grant.version,
+                self._mirror.revision or 0,
+            )
+        )  # fmt: skip
+
+    def note_overtaken(self, zone: str) -> None:
+        """A worker of a block that this node holds has seen a higher token than its grant's."""
+        self._note(GrantChange.OVERTAKEN, self.grants[zone])
 
     def mine(self, zone: str) -> Grant | None:
         """The grant of a block that this very process holds."""
--- a/kelpjunction/cli/serve.py
+++ b/kelpjunction/cli/serve.py
@@ -1,7 +1,9 @@
 """`serve` and `check`: run one controller, or look at its settings only."""
 
 import os
+import signal
 import sys
+from collections.abc import Callable
 
 import click
 
@@ -26,6 +28,11 @@
         sys.exit(2)
 
 
+def dump_on_signal(dump: Callable[[], None]) -> None:
+    """Have the last decisions written out at each SIGUSR1."""
+    signal.signal(signal.SIGUSR1, lambda number, frame: dump())
+
+
 @click.command()
 @_config
 @_operators
@@ -49,7 +56,7 @@
     """Run one controller node until it is killed.
 
     LOG_LEVEL is error, info (the default) or debug; LOG_FORMAT is line (the
-    default) or json.
+    default) or json. SIGUSR1 writes the last decisions into the log.
 
     \b
     Example:
@@ -70,4 +77,5 @@
     except ValueError as error:
         click.echo(f"kelpjunction: {error}", err=True)
         sys.exit(2)
+    dump_on_signal(daemon.dump_decisions)
     daemon.run_forever()
--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -24,6 +24,7 @@
 from kelpjunction.jobs.leading import Leading
 from kelpjunction.jobs.records import Records
 from kelpjunction.leadership import LEAD_KEY, Leadership, Reign
+from kelpjunction.recorder import Recorder
 from kelpjunction.renewal import Renewal
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import StoreClient, StoreDown
@@ -70,6 +71,7 @@
     ) -> None:
         spawn_exchange = spawn_exchange or spawn  # for what is asked of workers and sent to them
         self.platform = platform
+        self.recorder = Recorder(clock)
         self._transport = transport
         self.wake = Event()
         self.presence = Presence(clock)
@@ -86,9 +88,9 @@
         self.verifier = Verifier(self.store, spawn, pause, requests * COMPARE_SHARE)
         incarnation = f"{random_source.getrandbits(64):016x}"
         self.leadership = Leadership(
-            platform, operators, self.store, self.mirror, clock, incarnation, self._reign_changed
+            platform, operators, self.store, self.mirror, clock, incarnation, self._reign_changed, self.recorder
         )
-        self.blocks = Blocks(platform.node, incarnation, self.store, self.mirror, clock)
+        self.blocks = Blocks(platform.node, incarnation, self.store, self.mirror, clock, self.recorder)
         self.roster = Roster(
             platform.workers,
             self.book,
@@ -99,6 +101,7 @@
             spawn_exchange,
             self.wake.set,
             changes,
+            self.recorder,
         )
         self.inventory = Inventory(self.mirror, self.blocks, clock, changes)
         self.watch = Watch(
@@ -121,7 +124,9 @@
         self.fleet = Fleet(
             platform, operators, self.store, self.mirror, self.book, blame, self.inventory, transport, clock, pause
         )
-        self.intake = Intake(platform, self.store, self.mirror, self.verifier, self.book, self.fleet, clock)
+        self.intake = Intake(
+            platform, self.store, self.mirror, self.verifier, self.book, self.fleet, clock, self.recorder
+        )
         self.records = Records(self.store, self.mirror, self.book, clock, self.intake.remember)
         self.holding = Holding(
             platform, operators, self.records, self.book, self.blocks, self.roster, self.fleet, blame, clock, changes
@@ -277,6 +282,10 @@
         reign = self.node.leadership.reign
         return None if reign is None else reign.term
 
+    def dump_decisions(self) -> None:
+        """Write the last decisions into the log."""
+        self.node.recorder.dump("asked for by a signal")
+
     def run_forever(self) -> None:
         """Serve until the process is killed."""
         incoming = self._platform.max_sockets - self._outgoing - 2 * FEW_SOCKETS
--- a/kelpjunction/intake/__init__.py
+++ b/kelpjunction/intake/__init__.py
@@ -8,6 +8,7 @@
 import logging
 from collections import OrderedDict
 from collections.abc import Mapping
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -17,6 +18,7 @@
 from kelpjunction.jobs.book import END_PREFIX, JOB_PREFIX, Book, job_record
 from kelpjunction.placement import type_fits
 from kelpjunction.queue import over_limit
+from kelpjunction.recorder import Event, Recorder
 from kelpjunction.settings import Platform, Team
 from kelpjunction.store.client import Ending, StoreClient, StoreDown
 from kelpjunction.store.mirror import Mirror, Verifier
@@ -59,6 +61,14 @@
     return None
 
 
+@dataclass(frozen=True, slots=True)
+class CancellationConfirmed(Event):
+    """A user was told that a job is cancelled; `version` is of the record that says so."""
+
+    job: str
+    version: int
+
+
 class Intake:
     """What users can ask of this node."""
 
@@ -71,7 +81,9 @@
         book: Book,
         fleet: Fleet,
         clock: Clock,
+        recorder: Recorder,
     ) -> None:
+        self._recorder = recorder
         self._teams = platform.teams
         self._store = store
         self._mirror = mirror
@@ -205,13 +217,13 @@
                     return Answer(200, wire.job_answer(ref, self._ended[ref]))
                 continue
             if entry.value.get("cancelled"):
-                return Answer(200, wire.job_answer(ref, JobPhase.CANCELLED))
+                return self._confirm(ref, entry.version)
             record = entry.value | {"cancelled": True}
             outcome = self._store.commit({key: entry.version}, {key: record}, timeout=UNHEARD_AFTER)
             if outcome.ending is Ending.APPLIED:
                 self._mirror.put(key, record, outcome.revision)
                 log.info("job %s is cancelled by its user", ref)
-                return Answer(200, wire.job_answer(ref, JobPhase.CANCELLED))
+                return self._confirm(ref, outcome.revision)
             if outcome.ending is Ending.REFUSED:
                 break
             # In conflict, or without an answer: how it stands now is read, and told if that is final.
@@ -220,6 +232,11 @@
                 break  # not carried out yet; written again it would take the user's patience
         return later("the cancellation could not be confirmed")
 
+    def _confirm(self, ref: str, version: int) -> Answer:
+        """Tell a user that the job is cancelled, as its record at this version says."""
+        self._recorder.note(CancellationConfirmed(ref, version))
+        return Answer(200, wire.job_answer(ref, JobPhase.CANCELLED))
+
     # -- health -------------------------------------------------------------
 
     @property
--- a/kelpjunction/jobs/book.py
+++ b/kelpjunction/jobs/book.py
@@ -661,10 +661,18 @@
         return self.load(machine).placements
 
     def placement(self, task: TaskId) -> Placement | None:
-        job = self.jobs.get(task.ref)
-        chunk = job.chunks.get(task.index // CHUNK) if job else None
+        chunk = self._chunk_of(task)
         return chunk.placements.get(task.index % CHUNK) if chunk else None
 
+    def record_version(self, task: TaskId) -> int:
+        """The version of the record that holds a task; 0 if there is none."""
+        chunk = self._chunk_of(task)
+        return chunk.version if chunk else 0
+
+    def _chunk_of(self, task: TaskId) -> Chunk | None:
+        job = self.jobs.get(task.ref)
+        return job.chunks.get(task.index // CHUNK) if job else None
+
     def placements(self) -> Iterator[Placement]:
         for load in self.loads.values():
             yield from load.placements.values()
--- a/kelpjunction/leadership/__init__.py
+++ b/kelpjunction/leadership/__init__.py
@@ -13,9 +13,11 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
+from typing import ClassVar
 
 from kelpjunction.budget import Purpose
 from kelpjunction.clock import Clock
+from kelpjunction.recorder import Event, Recorder
 from kelpjunction.renewal import Renewal
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import Ending, HoldLost, StoreClient, StoreDown
@@ -43,6 +45,20 @@
     began: timedelta
 
 
+@dataclass(frozen=True, slots=True)
+class StandingChanged(Event):
+    """A node's standing changed; `term` is the newest known, `revision` what this node has read up to."""
+
+    level: ClassVar[int] = logging.INFO
+    node: str
+    incarnation: str
+    standing: str
+    reason: str
+    term: int
+    hold: int | None
+    revision: int
+
+
 class Leadership:
     """Runs for leader, stays it, and knows when to stop acting as one."""
 
@@ -55,8 +71,10 @@
         clock: Clock,
         incarnation: str,
         on_change: Callable[[Reign | None], None],
+        recorder: Recorder,
         prefix: str = LIVE,
     ) -> None:
+        self._recorder = recorder
         self._lead_key, self._member_prefix, self._term_key = (prefix + name for name in ("lead", "node/", "term"))
         self._node = platform.node
         self._identity = {"zone": platform.zone, "incarnation": incarnation}
@@ -206,7 +224,13 @@
     def _stand(self, standing: Standing, why: str) -> None:
         """The one place where the standing changes."""
         self.standing = standing
-        log.info("%s is now %s (%s)", self._node, standing.value, why)
+        term = self._mirror.get(self._term_key)
+        self._recorder.note(
+            StandingChanged(
+                self._node, self._identity["incarnation"], standing.value, why, term.value if term else 0, self._hold,
+                self._mirror.revision or 0,
+            )
+        )  # fmt: skip
         if standing is not Standing.LEADER:
             self.reign = None
         if standing is Standing.OUTSIDE:
--- a/kelpjunction/metrics.py
+++ b/kelpjunction/metrics.py
@@ -3,7 +3,8 @@
 Imported only by nodes whose operators turn it on.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from prometheus_client import CollectorRegistry
@@ -54,15 +55,21 @@
             ("kelpjunction_store_put_off", "Times that a purpose had to wait for its turn.", budget.denied),
             ("kelpjunction_store_refused_writes", "Writes answered 429, by purpose.", budget.refusals),
         ):
-            family = CounterMetricFamily(name, text, labels=["purpose"])
-            for purpose, count in counts.items():
-                family.add_metric([purpose.value], count)
-            yield family
+            yield _by(name, text, "purpose", counts)
         yield CounterMetricFamily("kelpjunction_starts", "Starts sent straight to workers.", node.roster.starts)
         yield CounterMetricFamily("kelpjunction_stops", "Stops sent straight to workers.", node.roster.stops)
-        settled = CounterMetricFamily("kelpjunction_settled", "Placements that ended, by cause.", labels=["cause"])
-        for cause, count in node.roster.settled.items():
-            settled.add_metric([cause.value], count)
-        yield settled
+        decisions = node.roster.decisions
+        yield _by("kelpjunction_settled", "Placements that ended, by cause.", "cause", decisions.causes)
+        yield _by("kelpjunction_settled_by", "The same, by what proved it.", "ground", decisions.grounds)
+        yield _by("kelpjunction_starts_said", "Starts said to workers, by way.", "way", decisions.ways)
+        yield _by("kelpjunction_reports_refused", "Reports that got no 200, by ground.", "ground", decisions.refusals)
         if node.keeper is not None:
             yield GaugeMetricFamily("kelpjunction_ledger_entry", "The last entry known.", node.keeper.entry)
+
+
+def _by(name: str, text: str, label: str, counts: Mapping[Enum, float]) -> CounterMetricFamily:
+    """A counter for each member of an enumeration that something was counted of."""
+    family = CounterMetricFamily(name, text, labels=[label])
+    for member, count in counts.items():
+        family.add_metric([member.value], count)
+    return family
--- a/kelpjunction/tickets/gateway.py
+++ b/kelpjunction/tickets/gateway.py
@@ -23,6 +23,7 @@
 from kelpjunction.intake import Answer
 from kelpjunction.jobs.book import Book
 from kelpjunction.leadership import Leadership, Reign
+from kelpjunction.recorder import Recorder
 from kelpjunction.settings import Operators, Platform
 from kelpjunction.store.client import StoreClient, StoreDown
 from kelpjunction.store.mirror import LIVE, Mirror, Verifier
@@ -72,7 +73,7 @@
         self._catalog: tuple[int, dict[str, MachineType]] = (0, {})
         self.leadership = Leadership(
             replace(platform, node=settings.name), operators, self.store, self.tickets, clock,
-            f"{random_source.getrandbits(64):016x}", self._reign_changed, PREFIX,
+            f"{random_source.getrandbits(64):016x}", self._reign_changed, Recorder(clock), PREFIX,
         )  # fmt: skip
         self.records = TicketRecords(self.store, self.tickets, self.jobs, clock)
         steps = Steps(settings, self.store, self.jobs, self.records, self.book, clock, watches[0])
--- a/kelpjunction/workers/answers.py
+++ b/kelpjunction/workers/answers.py
@@ -77,6 +77,7 @@
     believed: bool  # whether it counts at all
     ask: bool = False  # whether the worker must be asked about what it says
     listed: list[tuple[Placement, TaskReport]] = field(default_factory=list)
+    foreign: list[TaskReport] = field(default_factory=list)  # not exited, and none of what stands there
     ended: list[Placement] = field(default_factory=list)  # with the session they were written for
     of_another_life: list[Placement] = field(default_factory=list)  # written for a session above the proved one
     missing: list[Placement] = field(default_factory=list)  # of this very session, and not listed
@@ -97,6 +98,8 @@
         placement = here.get(told.task)
         if is_written_for(placement, report.session, told.attempt):
             reading.listed.append((placement, told))
+        elif told.state is not TaskState.EXITED:
+            reading.foreign.append(told)
     listed = {placement for placement, _ in reading.listed}
     unlisted = [placement for placement in here.values() if placement not in listed]
     if evidence is Evidence.CLAIM:
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -11,14 +11,17 @@
 from kelpjunction.clock import ZERO, Clock, seconds
 from kelpjunction.jobs.book import Book, Phase, Placement
 from kelpjunction.leadership import Leadership
+from kelpjunction.recorder import Recorder
 from kelpjunction.renewal import DRIFT
 from kelpjunction.settings import WorkerTimes
 from kelpjunction.transport import NoAnswer, Transport
 from kelpjunction.wire import workers as wire
 from kelpjunction.wire.messages import Cause, Command, Report, TaskId, TaskReport, TaskState, Verb
 from kelpjunction.wire.users import Malformed
-from kelpjunction.workers.answers import Entitlement, Known, Refusal, answer, read, refuse_block, refuse_report
+from kelpjunction.workers.answers import Entitlement, Known, answer, read, refuse_block, refuse_report
 from kelpjunction.workers.contact import PATIENCE, Contact, Evidence, Number, Reachability
+from kelpjunction.workers.decisions import DecisionLog
+from kelpjunction.workers.events import Ground, Way
 
 log = logging.getLogger("workers")
 
@@ -70,7 +73,9 @@
         spawn: Callable,
         wake: Callable[[], None],
         changes: Changes,
+        recorder: Recorder,
     ) -> None:
+        self.decisions = DecisionLog(recorder, book)
         self._times = times
         self._book = book
         self._blocks = blocks
@@ -82,8 +87,6 @@
         self._changes = changes
         self.workers: dict[str, Worker] = {}
         self.starts = self.stops = 0  # sent straight to workers since this process began
-        self.settled: Counter[Cause] = Counter()
-        self.refused: Counter[Refusal] = Counter()  # reports that got no 200
         self.zones_to_raise: set[str] = set()
         # Blocks of which a worker has seen a higher token than the one here:
         # they are another's, though no news of it has come in.  All their
@@ -99,18 +102,21 @@
         for machine in [n for n, w in self.workers.items() if w.zone == zone]:
             self._drop(machine)
         self.zones_to_raise.discard(zone)
+        self.decisions.clear(zone)
 
     # -- check-ins ----------------------------------------------------------
 
     def check_in(self, report: Report) -> tuple[int, bytes]:
         """Answer a worker's report: status and body."""
         token = self._blocks.token(report.zone)
-        if token is not None and report.token > token:
+        if token is not None and report.token > token and not self._is_overtaken(report.zone):
             self._overtaken[report.zone] = token
+            self._blocks.note_overtaken(report.zone)
         entitlement = Entitlement(token, self._is_overtaken(report.zone), self._leadership.in_touch())
         refusal = refuse_block(entitlement)
         if refusal is not None:
-            return self._refuse(refusal)
+            self.decisions.refused(report, 0, refusal)
+            return 503, b"{}"
         now = self._clock.steady()
         number = (report.session, report.sequence)
         worker = self._worker(report)
@@ -121,7 +127,8 @@
             self._spawn(self.visit, worker.machine, worker.address)
         refusal = refuse_report(report, Known(worker.session, worker.contact.lost, may_wait))
         if refusal is not None:
-            return self._refuse(refusal)
+            self.decisions.refused(report, worker.session, refusal)
+            return 503, b"{}"
         worker.answered_at = now
         told = answer(
             report.session, worker.told(), self._book.on(worker.machine), worker.sending, token > worker.uncertain_token
@@ -129,12 +136,9 @@
         for placement in told.starts:
             placement.advance(Phase.STARTED, now)
             placement.told_at = now
+            self.decisions.started(placement, token, Way.ANSWER, report.sequence)
         return 200, wire.check_in_answer(token, told.commands)
 
-    def _refuse(self, refusal: Refusal) -> tuple[int, bytes]:
-        self.refused[refusal] += 1
-        return 503, b"{}"
-
     def _is_overtaken(self, zone: str) -> bool:
         token = self._blocks.token(zone)
         return token is not None and self._overtaken.get(zone) == token
@@ -163,6 +167,8 @@
         if not reading.believed:
             return reading.ask
         new_session = report.session != worker.session
+        if new_session:
+            self.decisions.believed(report, worker.session, evidence, worker.uncertain_token)
         worker.session = report.session
         ours = self._blocks.token(worker.zone) or 0
         if new_session or worker.token < ours <= report.token:
@@ -182,11 +188,14 @@
             self._hear(worker, placement, told, now)
         for placement in reading.ended:
             # The worker killed everything of that session when it ended.
-            self.settle(placement, Cause.LOST, now)
+            self.settle(placement, Cause.LOST, Ground.SESSION_ENDED, now)
         for placement in reading.of_another_life:
             self._hear_of_another_life(worker, placement, now)
         for placement in reading.missing:
             self._hear_nothing(worker, placement, now)
+        if evidence is Evidence.PROOF:
+            for told in reading.foreign:
+                self.decisions.check_possible(report, told)
         if new_session:
             self._wake()
         return reading.ask
@@ -198,7 +207,7 @@
         again, and must not find a start for it then that is still under way.
         """
         if self._nothing_under_way(worker):
-            self.settle(placement, Cause.LOST, now)
+            self.settle(placement, Cause.LOST, Ground.ANOTHER_LIFE, now)
 
     def _nothing_under_way(self, worker: Worker) -> bool:
         """Whether no command of before can reach the worker any more; if it can for ever, a higher token ends that."""
@@ -215,7 +224,7 @@
     def _hear(self, worker: Worker, placement: Placement, told: TaskReport, now: timedelta) -> None:
         placement.seen = True
         if told.state is TaskState.EXITED:
-            self.settle(placement, told.cause, now, told.saved)
+            self.settle(placement, told.cause, Ground.REPORTED_EXIT, now, told.saved)
             return
         phase = _PHASE_OF[told.state]
         if phase is not Phase.FETCHING:
@@ -244,18 +253,18 @@
             placement.told_at is None or now - placement.told_at >= PATIENCE
         )
         if gone and not worker.sending[placement.task, placement.attempt] and self._nothing_under_way(worker):
-            self.settle(placement, Cause.STOPPED if not placement.live else Cause.LOST, now)
+            cause = Cause.LOST if placement.live else Cause.STOPPED
+            self.settle(placement, cause, Ground.ABSENT, now)
 
-    def settle(self, placement: Placement, cause: Cause, now: timedelta, saved: bool = False) -> None:
+    def settle(self, placement: Placement, cause: Cause, ground: Ground, now: timedelta, saved: bool = False) -> None:
         """The placement is surely off its machine: the next round writes that down."""
         if placement.phase is Phase.SETTLED:
             return
         placement.cause, placement.saved = cause, saved
-        self.settled[cause] += 1
         placement.advance(Phase.SETTLED, now)
         self._book.settled[placement.task] = placement
-        if cause not in (Cause.DONE, Cause.STOPPED):
-            log.info("%s attempt %d on %s: %s", placement.task, placement.attempt, placement.machine, cause.value)
+        worker = self.workers.get(placement.machine)
+        self.decisions.settled(placement, ground, worker.contact.newest if worker else (0, 0))
         self.on_exit(placement)
         self._wake()
 
@@ -263,11 +272,11 @@
 
     def stop(self, placement: Placement, grace: timedelta, reason: str) -> None:
         """Decide to stop a placement, or to let it save no longer; `send` or the next check-in tells the worker."""
-        if placement.live:
-            placement.grace, placement.reason = grace, reason
-            placement.advance(Phase.STOPPING, self._clock.steady())
-        elif grace < placement.grace:
-            placement.grace, placement.reason = grace, reason
+        if not placement.live and grace >= placement.grace:
+            return
+        placement.grace, placement.reason = grace, reason
+        placement.advance(Phase.STOPPING, self._clock.steady())
+        self.decisions.stopped(placement)
 
     def command_of(self, placement: Placement) -> Command:
         if placement.live:
@@ -291,6 +300,7 @@
                 if placement.live:
                     self.starts += 1
                     placement.advance(Phase.STARTED, now)
+                    self.decisions.started(placement, token, Way.DIRECT, worker.contact.newest[1])
                 else:
                     self.stops += 1
             self._spawn(self._send, worker, token, group)
@@ -416,14 +426,14 @@
             end = self.lease_end(machine, next(iter(load.placements.values())).zone)
             if end is not None and now > end:
                 for placement in load.placements.values():
-                    self.settle(placement, Cause.LOST, now)
+                    self.settle(placement, Cause.LOST, Ground.LEASE_ENDED, now)
 
     def settle_machine(self, machine: str) -> None:
         """The cloud confirmed that the machine is gone, and everything on it."""
         now = self._clock.steady()
         for placement in list(self._book.on(machine).values()):
             if self._blocks.mine(placement.zone) is not None:
-                self.settle(placement, Cause.LOST, now)
+                self.settle(placement, Cause.LOST, Ground.MACHINE_GONE, now)
         self._drop(machine)
 
     def _drop(self, machine: str) -> None:
--- /dev/null
+++ b/tests/test_recorder.py
@@ -0,0 +1,112 @@
+"""The last decisions of a node: what is kept, what the log shows, and what is written out when something can't be."""
+
+import logging
+import signal
+
+import orjson
+from test_sessions import lease_ends, placed_and_not_started
+from traces import served, worker_of
+
+from kelpjunction import logs
+from kelpjunction.cli.serve import dump_on_signal
+from kelpjunction.lab.world import SimClock, seconds
+from kelpjunction.metrics import Metrics
+from kelpjunction.recorder import DUMPS_APART, Recorder
+from kelpjunction.wire.messages import Cause, TaskId
+from kelpjunction.workers.contact import Evidence
+from kelpjunction.workers.events import Ground, Impossible, SessionBelieved, SessionChanged, Settled, StartSaid, Way
+
+TASK = TaskId("j-1", 0)
+CHANGED = SessionChanged("n-1", 1, 2, 7, Evidence.PROOF, 5, 4)
+
+
+def kinds(node, kind) -> list:
+    return [event for _, event in node.recorder.events(lambda event: isinstance(event, kind))]
+
+
+def test_a_start_and_its_end_say_on_what_they_rest():
+    world = served()
+    world.submit("j-1", run_s=2.0)
+    assert world.run(20, lambda: world.poll("j-1") == "done")
+    holder = next(n for n in world.nodes.values() if kinds(n, StartSaid))
+    (start,), (end,) = kinds(holder, StartSaid), kinds(holder, Settled)
+    assert (start.task, start.attempt, start.way, start.session) == (TASK, 1, Way.DIRECT, 1)
+    assert start.token == holder.blocks.token(holder.inventory.machines[start.machine].zone)
+    assert start.version > 0
+    assert (end.task, end.attempt, end.machine, end.cause) == (TASK, 1, start.machine, Cause.DONE)
+    assert end.ground is Ground.REPORTED_EXIT and end.sequence > start.sequence
+    said = Metrics(holder).text().decode()
+    assert 'kelpjunction_starts_said_total{way="direct"} 1.0' in said
+    assert 'kelpjunction_settled_by_total{ground="reported_exit"} 1.0' in said
+
+
+def test_a_session_that_ends_is_in_the_log_and_settles_by_that_ground(caplog):
+    caplog.set_level(logging.INFO)
+    world = served()
+    worker = placed_and_not_started(world, "a")
+    lease_ends(worker)
+    holder = next(n for n in world.nodes.values() if n.blocks.mine("a"))
+    assert world.run(20, lambda: kinds(holder, SessionChanged) != [])
+    (changed,) = kinds(holder, SessionChanged)
+    assert (changed.machine, changed.before, changed.session, changed.evidence) == (worker.name, 1, 2, Evidence.PROOF)
+    assert str(changed) in caplog.messages
+    assert Ground.SESSION_ENDED in {event.ground for event in kinds(holder, Settled)}
+    assert kinds(holder, SessionBelieved)[0].before == 0
+
+
+def test_what_can_not_be_is_written_out_with_what_led_to_it(caplog):
+    """An attempt that was settled is proved to run: what was decided of it is in the log, whatever its level."""
+    caplog.set_level(logging.ERROR)
+    world = served()
+    world.submit("j-1", run_s=60.0)
+    assert world.run(10, lambda: world.running("j-1") != [])
+    worker = worker_of(world, "j-1/0")
+    holder = next(n for n in world.nodes.values() if n.blocks.mine(worker.zone))
+    placement = holder.book.placement(TASK)
+    placement.seen = True
+    holder.roster.settle(placement, Cause.LOST, Ground.ABSENT, world.clock.now)
+    holder.book.settled.clear()
+    holder.book._drop(placement)
+    holder.roster.visit(worker.name, worker.address)
+    (finding,) = kinds(holder, Impossible)
+    assert (finding.task, finding.machine, finding.finding) == (TASK, worker.name, "it was settled before")
+    written = "\n".join(caplog.messages)
+    assert "StartSaid task=j-1/0 attempt=1" in written
+    assert "Settled" in written and "ground=not_listed" in written
+
+
+def test_many_findings_at_once_are_written_out_once(caplog):
+    clock = SimClock()
+    recorder = Recorder(clock, capacity=3)
+    finding = Impossible(TASK, 1, "n-1", 2, "it was settled before")
+    for _ in range(5):
+        recorder.contradiction(finding, lambda event: True)
+    assert len([m for m in caplog.messages if "decisions follow" in m]) == 1
+    assert len(list(recorder.events())) == 3, "the oldest go"
+    clock.now += DUMPS_APART + seconds(0.1)
+    recorder.contradiction(finding, lambda event: True)
+    assert len([m for m in caplog.messages if "decisions follow" in m]) == 2
+
+
+def test_an_event_is_a_field_of_a_json_line():
+    record = logging.LogRecord("recorder", logging.INFO, "", 0, "%s", (CHANGED,), None)
+    record.event = CHANGED.as_fields()
+    fields = orjson.loads(logs.json_formatter("holdfast-0", lambda: 4).format(record))
+    assert fields["event"] == {
+        "kind": "SessionChanged", "machine": "n-1", "before": 1, "session": 2, "sequence": 7, "evidence": "proof",
+        "token": 5, "uncertain_token": 4,
+    }  # fmt: skip
+    assert fields["machine"] == "n-1"
+
+
+def test_the_ring_is_written_out_on_a_signal(caplog):
+    recorder = Recorder(SimClock())
+    recorder.note(CHANGED)
+    before = signal.getsignal(signal.SIGUSR1)
+    try:
+        dump_on_signal(lambda: recorder.dump("asked for by a signal"))
+        signal.raise_signal(signal.SIGUSR1)
+    finally:
+        signal.signal(signal.SIGUSR1, before)
+    assert caplog.messages[0] == "asked for by a signal: the last 1 decisions follow"
+    assert caplog.messages[1].endswith(str(CHANGED))
