Workers: an answer under way revives no machine whose return was confirmed

Cause: a report of a returned machine was refused, but an answer to a question that was under way meanwhile made the machine known again, up and with room, until it was found silent. Change: the answer counts as none. The simulated world keeps what nodes find that can't be.

--- a/kelpjunction/fleet/watch.py
+++ b/kelpjunction/fleet/watch.py
@@ -75,6 +75,7 @@
         roster.on_seen = self._seen
         roster.on_exit = self._exited
         roster.images_of = self._images_of
+        roster.is_gone = inventory.gone
         inventory.on_gone = roster.settle_machine
 
     def gain(self, zone: str) -> None:
--- a/kelpjunction/lab/world.py
+++ b/kelpjunction/lab/world.py
@@ -21,6 +21,7 @@
 from kelpjunction.lab.site import CLOUD_LIMITS, GUEST, STORE_LIMITS, TEAMS, Site
 from kelpjunction.lab.worker import OneWay, WorkerStandIn
 from kelpjunction.leadership import Reign
+from kelpjunction.recorder import Event
 from kelpjunction.settings import Operators, Platform, Sibling, StoreLimits, Team, WorkerTimes, load_operators
 from kelpjunction.transport import NoAnswer, Reply
 from kelpjunction.wire.users import ABORT_END, JOBS_PATH
@@ -100,6 +101,7 @@
         self.stand_still: Callable[[str, str, str], float] = lambda source, target, path: 0.0
         self.frozen: set[str] = set()
         self._waiting: dict[str, list[Callable]] = {}  # packets for nodes that stand still
+        self.contradictions: list[Event] = []  # what nodes found that can't be
         self._exchanges = Exchanges(self, seed) if interleaved else None
         self.nodes: dict[str, Node | None] = {}
         for i in range(machines):
@@ -127,6 +129,7 @@
             _at_once, lambda duration: None, random.Random(self.random.random()),
             partial(self._exchanges.spawn, name) if self._exchanges else _at_once,
         )  # fmt: skip
+        node.recorder.on_contradiction = self.contradictions.append
         self.nodes[name] = node
         return node
 
--- a/kelpjunction/recorder.py
+++ b/kelpjunction/recorder.py
@@ -54,6 +54,7 @@
         self._clock = clock
         self._ring: deque[tuple[datetime, Event]] = deque(maxlen=capacity)
         self._dumped_at: timedelta | None = None
+        self.on_contradiction: Callable[[Event], None] = lambda event: None
 
     def note(self, event: Event) -> None:
         """Keep an event, and log it if its level is shown."""
@@ -75,6 +76,7 @@
     def contradiction(self, event: Event, related: Callable[[Event], bool]) -> None:
         """Note what can't be, and write out what led to it; many at once are written out once."""
         self.note(event)
+        self.on_contradiction(event)
         now = self._clock.steady()
         if self._dumped_at is None or now - self._dumped_at >= DUMPS_APART:
             self._dumped_at = now
--- a/kelpjunction/workers/roster.py
+++ b/kelpjunction/workers/roster.py
@@ -95,6 +95,7 @@
         self._asking: set[str] = set()  # machines that are being asked how they stand
         self.on_seen: Callable[[Report], None] = lambda report: None
         self.images_of: Callable[[str], list[str]] = lambda machine: []
+        self.is_gone: Callable[[str], bool] = lambda machine: False  # whether the cloud confirmed its return
         self.on_exit: Callable[[Placement], None] = lambda placement: None
 
     def clear(self, zone: str) -> None:
@@ -364,6 +365,8 @@
         except Malformed as error:
             log.error("odd report from a worker: %s", error)
             return False
+        if self.is_gone(report.machine):
+            return False  # returned while its answer was under way: it must not be known, nor used, again
         if self._blocks.mine(report.zone) is not None:
             self._take_reply(report, asked if report.machine == machine else (0, 0))
         return True
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -21,6 +21,8 @@
 Without interleaving nothing showed: there the question was always answered before the report.
 """
 
+from collections.abc import Callable
+
 import orjson
 import pytest
 from schedules import Schedule
@@ -47,6 +49,13 @@
             function(*args)
 
 
+class Carrying:
+    """A node's transport that does this with each request."""
+
+    def __init__(self, request: Callable) -> None:
+        self.request = request
+
+
 def placed_and_not_started(world: World, zone: str) -> WorkerStandIn:
     """A worker with a placement whose start was lost; its reports are the trace's from here on."""
     world.filter = lambda source, target, path: "lost" if path in ("/commands", "/checkin") else None
@@ -87,6 +96,33 @@
     assert world.broken == []
 
 
+def test_an_answer_that_was_under_way_revives_no_machine_that_was_returned():
+    """The same class in another path: a report of a returned machine was refused, an answer of it was believed.
+
+    Found by the recorder in two of 200 schedules with interleaved exchanges: the question was answered, the cloud
+    confirmed the machine's return, and the answer that came then made it known again and "up", for work to be
+    placed on nothing.
+    """
+    world = served(machines=6, capacity=6)
+    machine = next(iter(world.cloud.machines))
+    holder = next(n for n in world.nodes.values() if machine in n.roster.workers)
+    address = holder.inventory.machines[machine].address
+    carry, answered = holder.roster._transport.request, []
+
+    def return_meanwhile(*request):
+        reply = carry(*request)
+        answered.append(reply.status)
+        del world.cloud.machines[machine]
+        holder.inventory._forget(machine, world.clock.now)
+        return reply
+
+    holder.roster._transport = Carrying(return_meanwhile)
+    assert not holder.roster.visit(machine, address), "it is no neighbour either, by whose answer a cut is told"
+    assert answered == [200]
+    assert machine not in holder.inventory.machines
+    assert machine not in holder.roster.workers
+
+
 @pytest.mark.parametrize("seed", BROKE)
 def test_schedules_that_broke_the_rule(seed):
     world = Schedule(seed, interleaved=True).play(lambda world: None)
