Workers: a placement of another session is asked about until an answer settles it; soak

Cause: a new holder asked a worker on its first report; the next report overtook the answer, which then settled nothing. Later reports were the next number each, so nobody asked again, and a placement of a session that had ended stood in the records for 299 s: neither started nor settled.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: test demo
+.PHONY: test demo soak
 
 test: .venv/installed
 	$(BIN)/ruff check .
@@ -17,3 +17,10 @@
 	$(BIN)/python -m pip install -q -r requirements-dev.txt
 	$(BIN)/python -m pip install -q --no-deps -e .
 	touch $@
+
+# A long soak by hand: make soak SEEDS=10000:11000 MINUTES=10 PROCESSES=4
+SEEDS ?= 10000:11000
+MINUTES ?= 10
+PROCESSES ?= 2
+soak: .venv/installed
+	$(BIN)/python tests/soak.py --seeds $(SEEDS) --minutes $(MINUTES) --processes $(PROCESSES)
--- a/kelpjunction/workers/answers.py
+++ b/kelpjunction/workers/answers.py
@@ -103,7 +103,9 @@
     listed = {placement for placement, _ in reading.listed}
     unlisted = [placement for placement in here.values() if placement not in listed]
     if evidence is Evidence.CLAIM:
-        reading.ask = any(p.seen or not p.live for p in unlisted)
+        # What was there may have ended, and what was written for another session can neither start nor settle
+        # before the worker has answered: who was asked once may have had its answer overtaken.
+        reading.ask = any(p.seen or not p.live or p.session != report.session for p in unlisted)
         return reading
     for placement in unlisted:
         if placement.session < report.session:
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,127 @@
+"""Seeded soak runs on the simulated world; `make soak SEEDS=10000:11000 MINUTES=10 PROCESSES=4` plays many.
+
+A seed is either a random schedule of faults with interleaved exchanges, or a deployment whose controllers end and
+return again and again, for longer than a lease too, while work goes on.  Prints each seed that is not clean.
+"""
+
+import argparse
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from dataclasses import dataclass, field
+
+from schedules import Schedule
+
+from kelpjunction.lab.world import World, seconds
+
+ABSENCES_S = (0.1, 1.0, 4.0, 17.0, 30.0)  # how long controllers are away: a lease is 15 s
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What a seed left behind; clean if nothing."""
+
+    seed: int
+    broken: list[str] = field(default_factory=list)
+    open: list[str] = field(default_factory=list)  # accepted jobs that should have ended
+    idle: list[str] = field(default_factory=list)  # that wait beside room for them
+    forgotten: list[str] = field(default_factory=list)
+    contradictions: list[str] = field(default_factory=list)
+
+    @classmethod
+    def of(cls, seed: int, world: World) -> "Outcome":
+        told = {ref for ref, state in world.told.items() if state == "accepted"}
+        return cls(
+            seed,
+            world.broken,
+            sorted(ref for ref in told if world.jobs[ref]["shape"] != "service"),
+            sorted(world.idle.left),
+            sorted(world.attendance.forgotten),
+            [str(event) for event in world.contradictions],
+        )
+
+    @property
+    def clean(self) -> bool:
+        return self == Outcome(self.seed)
+
+
+def play_schedule(seed: int) -> Outcome:
+    """A random schedule of faults, its exchanges interleaved."""
+    return Outcome.of(seed, Schedule(seed, interleaved=True).play(lambda world: None))
+
+
+def play_restarts(seed: int, rounds: int = 20) -> Outcome:
+    """Controllers end, one or all, and return; workers' sessions end meanwhile, and their reports find other nodes."""
+    world = World(seed=seed, machines=12, capacity=15, interleaved=True)
+    random = world.random
+    world.run(5)
+    for number in range(rounds):
+        ref = f"j-{number:04d}"
+        shape = random.choice(["batch", "batch", "service", "ensemble"])
+        fields = {"shape": shape, "run_s": random.uniform(5, 40), "crew": random.choice(["red", "blue"])}
+        if shape == "ensemble":
+            fields |= {"mark_s": 5.0, "stow_s": 1.0}
+        world.submit(ref, random.randint(1, 8), **fields)
+        if random.random() < 0.2:
+            world.abort(random.choice(sorted(world.jobs)))
+        absent = random.choice([world.node_names, random.sample(world.node_names, 1)])
+        for name in absent:
+            world.kill_node(name)
+            world.run(random.uniform(0, 1))
+        world.run(random.choice(ABSENCES_S))
+        for name in absent:
+            world.start_node(name)
+            world.run(random.uniform(0, 2))
+        world.run(random.uniform(1, 15))
+    world.attendance.troubles_over(world.clock.now)
+    world.idle.judging = True
+    _recover(world)
+    for ref, job in sorted(world.jobs.items()):
+        if job["shape"] == "service":
+            world.abort(ref)  # what they fill is for the rest, which is to end
+    _recover(world)
+    return Outcome.of(seed, world)
+
+
+def _recover(world: World, duration: float = 200.0) -> None:
+    """Let time pass without troubles, while users go on asking."""
+    until = world.clock.now + seconds(duration)
+    while world.clock.now < until:
+        world.run(5)
+        for ref in sorted(world.jobs):
+            world.poll(ref)
+
+
+def play(seed: int) -> Outcome:
+    """One seed of the long run: each tenth plays restarts."""
+    return play_restarts(seed) if seed % 10 == 0 else play_schedule(seed)
+
+
+def main() -> int:
+    """Play the seeds until they or the minutes are used up; exit code 1 if one was not clean."""
+    options = argparse.ArgumentParser(description=__doc__)
+    options.add_argument("--seeds", default="10000:11000", help="first and one past the last, FIRST:END")
+    options.add_argument("--minutes", type=float, default=10.0, help="no seed begins after this")
+    options.add_argument("--processes", type=int, default=2)
+    given = options.parse_args()
+    first, end = (int(part) for part in given.seeds.split(":"))
+    stop_at = time.monotonic() + 60 * given.minutes
+    outcomes: list[Outcome] = []
+    with ProcessPoolExecutor(given.processes) as pool:
+        waiting = [pool.submit(play, seed) for seed in range(first, end)]
+        for done in as_completed(waiting):
+            if done.cancelled():
+                continue
+            outcomes.append(done.result())
+            if not outcomes[-1].clean:
+                print(outcomes[-1], flush=True)
+            if time.monotonic() > stop_at:
+                for one in waiting:
+                    one.cancel()
+    unclean = [outcome.seed for outcome in outcomes if not outcome.clean]
+    print(f"{len(outcomes)} of {end - first} seeds played, {len(unclean)} not clean: {sorted(unclean)}")
+    return 1 if unclean else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -111,6 +111,20 @@
         assert getattr(reading, name) == ([stands] if name == field else [])
 
 
+@pytest.mark.parametrize(
+    ("stands", "ask"),
+    [
+        (placement(), False),  # its start is under way
+        (placement(seen=True), True),
+        (placement(phase=Phase.STOPPING), True),
+        (placement(session=1), True),
+        (placement(session=3), True),
+    ],
+)
+def test_what_a_claim_lacks_is_asked_about(stands, ask):
+    assert read(report(), Evidence.CLAIM, 2, {TASK: stands}).ask is ask
+
+
 @pytest.mark.parametrize(
     ("evidence", "known_session", "believed", "ask"),
     [
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -123,6 +123,33 @@
     assert machine not in holder.roster.workers
 
 
+def test_a_placement_of_an_earlier_session_is_asked_about_until_an_answer_settles_it():
+    """Found by a soak of restarts: a replica stood in the records for 299 s, and was on no machine.
+
+    A new holder asked the worker on its first report, and the next report overtook the answer, which then settled
+    nothing; every later report was just the next number, so nobody was asked again; and no start could be said,
+    since the placement was written for a session that had ended.
+    """
+    world = served(machines=6, capacity=6)
+    worker = placed_and_not_started(world, "a")
+    lease_ends(worker)
+    holder = next(n for n in world.nodes.values() if n.blocks.mine("a"))
+    holder.roster.clear("a")
+    usual = holder.roster._transport
+
+    def overtaken(*request):
+        reply = usual.request(*request)
+        holder.roster._transport = usual
+        report_to(holder, worker)
+        return reply
+
+    holder.roster._transport = Carrying(overtaken)
+    report_to(holder, worker)
+    assert holder.roster._transport is usual, "it was asked once"
+    assert world.run(60, lambda: world.poll("j-1") == "done")
+    assert world.broken == []
+
+
 @pytest.mark.parametrize("seed", BROKE)
 def test_schedules_that_broke_the_rule(seed):
     world = Schedule(seed, interleaved=True).play(lambda world: None)
