--- a/kelpjunction/workers/decisions.py
+++ b/kelpjunction/workers/decisions.py
@@ -81,9 +81,9 @@
         elsewhere = self._book.placement(told.task)
         if (told.task, told.attempt, report.machine) in self._over:
             finding = "it was settled before"
-        elif elsewhere is not None and elsewhere.machine != report.machine and elsewhere.seen and elsewhere.live:
+        elif elsewhere is not None and elsewhere.attempt > told.attempt and elsewhere.seen and elsewhere.live:
             finding = f"attempt {elsewhere.attempt} is on {elsewhere.machine}"
         else:
-            return  # of a record that this node has not read yet, or that was settled by another
+            return  # settled by another, or a later attempt: of a record that this node has not read yet
         event = Impossible(told.task, told.attempt, report.machine, report.session, finding)
         self._recorder.contradiction(event, concerns(told.task, report.machine))
--- a/tests/test_recorder.py
+++ b/tests/test_recorder.py
@@ -4,6 +4,7 @@
 import signal
 
 import orjson
+import pytest
 from test_sessions import lease_ends, placed_and_not_started
 from traces import served, worker_of
 
@@ -12,7 +13,7 @@
 from kelpjunction.lab.world import SimClock, seconds
 from kelpjunction.metrics import Metrics
 from kelpjunction.recorder import DUMPS_APART, Recorder
-from kelpjunction.wire.messages import Cause, TaskId
+from kelpjunction.wire.messages import Cause, Report, TaskId, TaskReport, TaskState
 from kelpjunction.workers.contact import Evidence
 from kelpjunction.workers.events import Ground, Impossible, SessionBelieved, SessionChanged, Settled, StartSaid, Way
 
@@ -75,6 +76,21 @@
     assert "Settled" in written and "ground=not_listed" in written
 
 
+@pytest.mark.parametrize(("attempt", "found"), [(1, True), (3, False)])
+def test_an_earlier_attempt_beside_one_that_was_seen_can_not_be_and_a_later_one_is_news(attempt, found):
+    """A node that is cut off from the state service learns of later attempts from workers first."""
+    world = served()
+    world.submit("j-1", run_s=60.0)
+    assert world.run(10, lambda: world.running("j-1") != [])
+    holder = next(n for n in world.nodes.values() if n.blocks.mine(worker_of(world, "j-1/0").zone))
+    placement = holder.book.placement(TASK)
+    placement.attempt, placement.seen = 2, True
+    told = TaskReport(TASK, attempt, TaskState.RUNNING, None, False)
+    report = Report("n-9", "10.1.0.9:9000", "box", "a", False, 1, 1, 0, None, (told,))
+    holder.roster.decisions.check_possible(report, told)
+    assert [f.finding for f in kinds(holder, Impossible)] == ([f"attempt 2 is on {placement.machine}"] * found)
+
+
 def test_many_findings_at_once_are_written_out_once(caplog):
     clock = SimClock()
     recorder = Recorder(clock, capacity=3)
