Review case 1: a task runs on two machines after a late copy of a report from before a restart

The holder takes a report's number for proof that it follows the last one, also if an earlier process of the worker sent it, and ends a running attempt by the exit that the copy lists.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -372,6 +372,8 @@
         self.tasks = {}  # (task, attempt) -> dict
         self.images = set()
         self.sick = False  # fails every task that it starts
+        self.life = 1  # rises when the machine is restarted
+        self.on_answer = lambda fields, status: None  # called with each report and the status of its answer
         self.alive = True
         self.lock = threading.RLock()
         self.wake = threading.Event()
@@ -395,6 +397,16 @@
         self.server.server_close()
         self.wake.set()
 
+    def restart(self):
+        """The machine ends and is back at once: its tasks are gone, and all numbers start over."""
+        with self.lock:
+            self.site.record("machine restarted", self.name)
+            self._clear("machine restarted")
+            self.watch, self.tally, self.helm = 1, 0, 0
+            self.renewed_at = time.monotonic()
+            self.life += 1
+            self.wake.set()
+
     def _clear(self, why):
         for (task, attempt), held in list(self.tasks.items()):
             if held["tide"] not in ("pulling", "exited"):
@@ -522,8 +534,9 @@
         connection, connected_to = None, None
         while self.alive:
             self.wake.clear()
-            fields, sent_at = self.report(), time.monotonic()
-            sent = self.site.record.now()
+            with self.lock:
+                fields, life = self.report(), self.life
+            sent_at, sent = time.monotonic(), self.site.record.now()
             pause = self.site.times["report_s"] * self.site.random.uniform(0.75, 1.25)
             try:
                 if connection is None or connected_to != self.node:
@@ -535,6 +548,10 @@
                 status, answer = None, {}
             if not self.alive:
                 return
+            self.on_answer(fields, status)
+            if life != self.life:
+                connection = None
+                continue
             if status == 200 and time.monotonic() - sent_at < REPORT_TIMEOUT_S:
                 with self.lock:
                     if answer.get("helm", -1) >= self.helm and fields["watch"] == self.watch:
