--- a/review/2/case.py
+++ b/review/2/case.py
@@ -23,7 +23,21 @@
 
 
 def results_page(ref, crew, replicas):
-    return job(ref, "results-page", crew, "service", "prod", replicas, 2.0, 0.0, 8.1, "img-01", 0.5, apart=True)
+    return job(
+        ref,
+        "results-page",
+        crew,
+        "service",
+        "prod",
+        replicas,
+        2.0,
+        0.0,
+        8.1,
+        "img-01",
+        0.5,
+        apart=True,
+        hulls=["small-worker"],
+    )
 
 
 def run(record, trouble):
@@ -64,13 +78,16 @@
     over_at = record("trouble is over" if trouble else "no trouble")
 
     # The rule: from now on the job may not wait for 90 s while the machine that fits it has room.
-    waiting_since, last_poll = record.now(), 0.0
+    waiting_since, last_poll, had_room = record.now(), 0.0, None
     while True:
         time.sleep(0.1)
         now = record.now()
         with big.lock:
             has_room = big.up and big.free[0] >= 43.0 and big.free[1] >= 4.0 and big.free[2] >= 310.0
             is_there = any(held["tide"] != "exited" for held in big.tasks.values())
+        if had_room != has_room:
+            had_room = has_room
+            record(big.name, "has room for the job" if has_room else "has no room for the job")
         if not has_room or is_there:
             waiting_since = now
         if now - last_poll >= 5.0:
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -4,7 +4,6 @@
 can delay or refuse the requests of one controller. Every observable event is written to the record.
 """
 
-import atexit
 import collections
 import http.client
 import json
@@ -705,7 +704,6 @@
             self.files[n] = Path(self.folder.name) / f"{n}.toml"
             self.files[n].write_text(toml(settings))
         EXIT_CALLS.append(self.stop)
-        atexit.register(self.stop)
 
     def start(self, name):
         log = (Path(self.folder.name) / f"{name}.log").open("ab")
@@ -731,6 +729,7 @@
     def stop(self):
         for name in list(self.processes):
             self.kill(name)
+        self.folder.cleanup()
 
     def keep_logs(self, folder):
         for n in self.files:
@@ -815,6 +814,7 @@
 
     def give_up():
         record("the case exceeded its time")
+        print("exit code 2: the case exceeded its time", flush=True)
         for function in EXIT_CALLS:
             function()
         os._exit(2)
