--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,48 +1,86 @@
-"""A submission with an amount next to zero: do the other jobs still start?"""
+"""A controller that holds no block loses the state service and the other controllers: are its users answered?"""
 
 import asyncio
+import copy
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-2"))
+from balancer2 import Balancer
 from site2 import CAMARA, TROUBLE, Client, play
 
-CPUS = 1e-307  # a decimal number that JSON and the protocol allow; the protocol sets no lower bound
-WAIT_S = 90.0  # "none waiting 90 s while a fitting machine has room and its team is under its limit"
+FAILING_S = 90.0  # `forgotten`: "every poll for it fails for 90 s while most others get answers"
+POLL_S = 5.0
+
+
+class User:
+    """One user with one job, who keeps the connection open as PROTOCOL says and polls about every 5 s."""
+
+    def __init__(self, site, balancer, ref):
+        self.site, self.ref = site, ref
+        self.client = Client(balancer.address)
+        self.answered_at, self.failing_since, self.longest_failure = [], None, 0.0
+
+    async def run(self):
+        while True:
+            began = time.monotonic()
+            reply = await self.site.poll(self.client, self.ref)
+            now = time.monotonic()
+            if reply and reply[0] == 200:
+                self.answered_at.append(now)
+                self.failing_since = None
+            else:
+                self.failing_since = self.failing_since or began
+                self.longest_failure = max(self.longest_failure, now - self.failing_since)
+            await asyncio.sleep(max(0.0, began + POLL_S - time.monotonic()))
+
+
+def without_workers(site):
+    busy = {w.served_by for w in site.cloud.machines.values() if w.up}
+    return [] if None in busy else [node for n, node in enumerate(site.nodes) if n not in busy]
 
 
 async def case(site):
-    users = [Client(node.listen) for node in site.nodes]
-    # First the machines are shown to run such jobs.
-    site.job("j-000001", "socios", "portal-socios", "service", 2, 2.0, 3.4, urgency="prod", apart=True)
-    site.job("j-000002", "sistemas", "barrido", "batch", 4, 2.0, 3.6)
-    for ref in ("j-000001", "j-000002"):
-        await site.submit(users[0], ref)
-    await site.until(lambda: all("started_at" in site.jobs[r] for r in ("j-000001", "j-000002")), 15, "first starts")
-    watched = ["j-000011", "j-000012"]
+    balancer = Balancer(site)
+    await balancer.start()
+    await site.until(lambda: all(b.healthy for b in balancer.backends), 10, "all controllers are healthy")
+    users = []
+    for number in range(len(site.nodes)):
+        ref = f"j-{number + 1:06d}"
+        site.job(ref, "socios", "portal-socios", "service", 2, 2.0, 3.4, urgency="prod", apart=True)
+        users.append(User(site, balancer, ref))
+        await site.submit(users[-1].client, ref)
+    # The blocks are spread over the controllers in the first seconds.
+    await site.until(lambda: len(without_workers(site)) == len(site.nodes) - 3, 12, "each zone has its controller")
+    polls = [asyncio.ensure_future(user.run()) for user in users]
+    await asyncio.sleep(1.0)
+    target = next(n for n in without_workers(site) if any(balancer.node_of(u.client) is n for u in users))
+    mine = [u.ref for u in users if balancer.node_of(u.client) is target]
+    site.note(f"{target.name} serves no workers; jobs of the users connected to it: {mine}")
     if TROUBLE:
-        site.job("j-000010", "analisis", "consultas", "batch", 1, CPUS, 0.45)
-        status = await site.submit(users[1], "j-000010")
-        if status in (200, 201):
-            watched.append("j-000010")
+        site.note(f"{target.name} loses the state service and the other controllers")
+        target.state_proxy.cut()
+        for node in site.nodes:
+            for other, proxy in node.sibling_proxies:
+                if target in (node, other):
+                    proxy.cut()
+    cut_at = time.monotonic()
+    while time.monotonic() - cut_at < FAILING_S + 6.0:
         await asyncio.sleep(1.0)
-    site.job("j-000011", "socios", "portal-socios", "service", 2, 2.0, 3.4, urgency="prod", apart=True)
-    site.job("j-000012", "sistemas", "barrido", "batch", 4, 2.0, 3.6)
-    for ref in watched[:2]:
-        await site.submit(users[2], ref)
-    limit, least_room = time.monotonic() + WAIT_S + 1.0, 1_000
-    while time.monotonic() < limit and not all("started_at" in site.jobs[ref] for ref in watched):
-        await asyncio.sleep(5.0)
-        for ref in watched:
-            await site.poll(users[0], ref)
-        room = {ref: site.room(ref) for ref in watched}
-        least_room = min([least_room, *(room[ref] for ref in watched if "started_at" not in site.jobs[ref])])
-        site.note(f"machines with room for one more task: {room}")
-    waiting = [ref for ref in watched if "started_at" not in site.jobs[ref]]
-    if waiting and least_room > 0:
-        return f"accepted and not started within {WAIT_S:.0f} s, beside machines with room: {', '.join(waiting)}"
+        if max(u.longest_failure for u in users) >= FAILING_S:
+            break
+    for poll in polls:
+        poll.cancel()
+    forgotten = [u.ref for u in users if u.longest_failure >= FAILING_S]
+    answered = [u.ref for u in users if u.longest_failure < POLL_S + 3.0]
+    site.note(f"longest time without an answer: { {u.ref: round(u.longest_failure, 1) for u in users} }")
+    if forgotten and len(answered) > len(users) / 2:
+        return f"forgotten: every poll for {', '.join(forgotten)} failed for 90 s; answered: {', '.join(answered)}"
     return None
 
 
-play(CAMARA, __file__, case)
+plan = copy.deepcopy(CAMARA)
+plan["controllers"] = ["rosario", "cordoba", "mendoza", "rosario", "cordoba"]  # five, as in kit/more and kit/next
+plan["workers"]["report_s"] = 5.0
+play(plan, __file__, case)
--- a/review/common-2/site2.py
+++ b/review/common-2/site2.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import shlex
 import socket
 import subprocess
@@ -89,9 +90,21 @@
 
 
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A free port below those that the system gives to clients and to servers on port 0."""
+    for _ in range(1000):
+        port = random.randrange(12000, 32000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in _taken:
+            _taken.add(port)
+            return port
+    raise CannotRun("no free port")
+
+
+_taken = set()
 
 
 def toml(value):
@@ -174,7 +187,9 @@
         for node in self.nodes:
             await self._start_node(node, f"127.0.0.1:{cloud_port}")
         self.note(f"{len(self.nodes)} controllers, {len(self.plan['machines'])} machines; trouble: {TROUBLE}")
-        await self.until(lambda: all(n.process.poll() is None for n in self.nodes) and self.serving(), 25, "start")
+        await self.until(self.serving, 25, "all workers are served")
+        if any(node.process.poll() is not None for node in self.nodes):
+            raise CannotRun("a controller has ended")
 
     async def _start_node(self, node, cloud_address):
         node.state_proxy = Proxy(lambda: self.state_address)
