Lab: users behind a load balancer, and the rule forgotten by failing polls

Change: `lab.balancer` follows PROTOCOL's load balancer (probes, removals with doubled pauses, resets, rising shares, skipped nodes). `lab.polling_users` has users who keep a connection and poll every 5 s, and reports a user whose polls all fail for 90 s while most others succeed. `World(node_count=...)` sets the number of nodes; `isolate_together` cuts nodes off from the state service and all others, but not from each other or their users.

--- a/kelpjunction/lab/rules.py
+++ b/kelpjunction/lab/rules.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 CPU_TOLERANCE = 1e-6
+MAX_FAILING_TIME = timedelta(seconds=90)
 CANCELLED, DONE = "withdrawn", "done"
 
 
@@ -65,3 +66,10 @@
     if before in (DONE, CANCELLED) and state != before:
         broken.append(f"went_back: {ref} {before} -> {state}")
     return broken
+
+
+def failing_polls_violations(ref: str, failing: timedelta) -> list[str]:
+    """Violation if all polls for an accepted job have failed for this long while most others succeed (`forgotten`)."""
+    if failing < MAX_FAILING_TIME:
+        return []
+    return [f"forgotten: every poll for {ref} failed for {failing.total_seconds():.0f} s"]
--- a/kelpjunction/lab/world.py
+++ b/kelpjunction/lab/world.py
@@ -18,7 +18,9 @@
 from kelpjunction.clock import ZERO, seconds
 from kelpjunction.daemon import Node
 from kelpjunction.http import PEER_PATH, sibling_answer
+from kelpjunction.lab.balancer import LoadBalancerStandIn
 from kelpjunction.lab.interleaving import InterleavedRequests
+from kelpjunction.lab.polling_users import PollingUsers
 from kelpjunction.lab.site import CLOUD_LIMITS, GUEST, STORE_LIMITS, TEAMS, Site
 from kelpjunction.lab.worker import MessageLoss, WorkerStandIn
 from kelpjunction.leadership import LeaderTerm
@@ -89,8 +91,10 @@
         store: StoreLimits | None = None,
         times: WorkerTimes | None = None,
         interleaved: bool = False,
+        node_count: int = 3,
     ):
         super().__init__(SimClock(day_speed), seed, ("a", "b", "c"), teams or TEAMS, capacity)
+        self.node_count = node_count
         self.times = times or self.times
         self.store.limits = store
         self.operators = operators or load_operator_settings(None)
@@ -103,6 +107,7 @@
         self.late_request_delay_s = (1.0, 25.0)
         self.cut_from_store: set[str] = set()
         self.cut_from_peers: set[str] = set()
+        self.cut_peer_links: set[frozenset[str]] = set()  # pairs of nodes that do not reach each other
         # The duplicates of a report: for each, the delay in seconds and the node that receives it.
         self.duplicate_reports: Callable[[WorkerStandIn], list[tuple[float, str]]] = lambda worker: []
         # Copies of reports that are delivered to every node when the next leader's term begins; None to keep none.
@@ -120,23 +125,28 @@
         self.nodes: dict[str, Node | None] = {}
         for i in range(machines):
             self.cloud.add(self.zones[i % 3], False, self.clock.now)
-        for i in range(3):
-            self.start_node(f"holdfast-{i}")
+        for name in self.node_names:
+            self.start_node(name)
+        self.balancer = LoadBalancerStandIn(self, self.node_names, seed)
+        self.polling_users = PollingUsers(self.balancer, self.poll, self.ask_meanwhile, self.now, self.broken)
 
     # -- nodes ----------------------------------------------------------------
 
     def platform(self, name: str) -> PlatformSettings:
         number = int(name[-1])
-        others = [i for i in range(3) if i != number]
+        others = [i for i in range(self.node_count) if i != number]
         return PlatformSettings(
-            node=name, zone=self.zones[number], listen_address=f"10.0.0.{number}:8080",
+            node=name, zone=self._zone_of_node(number), listen_address=f"10.0.0.{number}:8080",
             internal_address=f"10.0.0.{number}:8081",
-            siblings=tuple(Sibling(f"holdfast-{i}", self.zones[i], f"10.0.0.{i}:8081") for i in others),
+            siblings=tuple(Sibling(f"holdfast-{i}", self._zone_of_node(i), f"10.0.0.{i}:8081") for i in others),
             cloud_address=CLOUD, store_address=STORE, zones=self.zones, teams={t.name: t for t in self.teams},
             classes_with_objectives=self.classes_with_objectives, workers=self.times,
             store=self.store.limits or STORE_LIMITS, cloud=CLOUD_LIMITS,
         )  # fmt: skip
 
+    def _zone_of_node(self, number: int) -> str:
+        return self.zones[number % len(self.zones)]
+
     def start_node(self, name: str) -> Node:
         transport = _SimulatedTransport(self, name)
         node = Node(
@@ -362,9 +372,11 @@
 
     def peer(self, source: str, address: str) -> Reply:
         """A node's reply to a sibling that asks about its mirror of the state service."""
-        name = next(f"holdfast-{i}" for i in range(3) if address == f"10.0.0.{i}:8081")
+        number = next(i for i in range(self.node_count) if address == f"10.0.0.{i}:8081")
+        name = self.node_names[number]
         node = self.nodes[name]
-        if node is None or name in self.frozen or self.cut_from_peers & {source, name}:
+        is_cut = self.cut_from_peers & {source, name} or frozenset({source, name}) in self.cut_peer_links
+        if node is None or name in self.frozen or is_cut:
             raise NoResponse("the sibling is not reachable")
         return Reply(200, sibling_answer(node.intake))
 
@@ -381,8 +393,25 @@
         status, answer = node.handle_report(body)
         return status, orjson.loads(answer)
 
+    def isolate_together(self, *names: str) -> None:
+        """Cut these nodes off from the state service and all other nodes; they still reach each other and their users.
+
+        Ends an earlier cut; without names, nothing else.
+        """
+        self.cut_from_store, self.cut_from_peers = set(names), set()
+        self.cut_peer_links = {frozenset({a, b}) for a in names for b in self.node_names if b not in names}
+
     # -- users ----------------------------------------------------------------
 
+    def probe(self, node: str) -> bool:
+        """A load balancer's probe of a node's health."""
+        process = self.nodes[node]
+        return process is not None and node not in self.frozen and process.intake.healthy()
+
+    def accepts_connections(self, node: str) -> bool:
+        """Whether a connection to a node is accepted; that of a paused process is, by its operating system."""
+        return self.nodes[node] is not None
+
     def ask(self, method: str, path: str, body: bytes, node: str | None) -> tuple[int, dict]:
         intake = self._accepting_node(node).intake
         ref = path.removeprefix(JOBS_PATH + "/")
@@ -434,6 +463,8 @@
             for ref in {f.partition("/")[0] for f, _ in self.running()}:
                 self._check_cancelled(ref)
             self._replay_reports_to_new_leader()
+            self.balancer.step(self.clock.now)
+            self.polling_users.step()
             if self._step_count % 10 == 0:
                 self.starvation_check.observe(self)
             if until is not None and until():
