--- a/benchmarks/load_balancer.py
+++ b/benchmarks/load_balancer.py
@@ -87,7 +87,9 @@
     world.isolate_together(world.leader_name())
 
 
-def isolate_two(world: World) -> None:
+def isolate_two_with_silent_machines(world: World) -> None:
+    for worker, _ in world.cloud.machines.values():
+        worker.message_loss = MessageLoss.OUTBOUND_LOST
     world.isolate_together(*[name for name in world.node_names if name != world.leader_name()][:2])
 
 
@@ -104,8 +106,8 @@
     "one of five, a holder": (5, isolate_holder),
     "one of five, a holder whose machines are silent": (5, isolate_holder_with_silent_machines),
     "one of five, the leader": (5, isolate_leader),
-    "two of five together": (5, isolate_two),
-    "two of three together": (3, isolate_two),
+    "two of five together, all machines silent": (5, isolate_two_with_silent_machines),
+    "two of three together, all machines silent": (3, isolate_two_with_silent_machines),
     "one of five, from within an outage on": (5, isolate_in_outage),
 }
 
--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 
 import gevent
 from gevent.event import Event
@@ -16,7 +17,7 @@
 from kelpjunction.fleet.cloud import Fleet
 from kelpjunction.fleet.machine_monitor import MachineMonitor
 from kelpjunction.fleet.machines import Inventory
-from kelpjunction.http import Application, SiblingApplication, create_server, sibling_is_fresh, sibling_revision
+from kelpjunction.http import Application, SiblingApplication, create_server
 from kelpjunction.intake import Intake
 from kelpjunction.intake.confirmation import CancellationBarrier
 from kelpjunction.jobs.failure_attribution import FailureAttribution
@@ -29,6 +30,8 @@
 from kelpjunction.recorder import Recorder
 from kelpjunction.renewal import LeaseRenewalPolicy
 from kelpjunction.settings import OperatorSettings, PlatformSettings
+from kelpjunction.siblings import SiblingRequests, encode_state, request_state
+from kelpjunction.store.access import CHECK_INTERVAL, StoreAccessMonitor
 from kelpjunction.store.client import StoreClient, StoreUnavailable
 from kelpjunction.store.mirror import LIVE_PREFIX, Mirror, Verifier
 from kelpjunction.transport import HttpTransport, Transport
@@ -42,7 +45,6 @@
 ERROR_RETRY_DELAY = timedelta(milliseconds=250)
 SMALL_POOL_SOCKETS = 20
 GC_THRESHOLDS = (20_000, 20, 50)
-SIBLING_CHECK_INTERVAL = timedelta(seconds=1)
 LEDGER_INTERVAL = timedelta(seconds=1)
 IDLE_WATCH_INTERVAL = timedelta(milliseconds=200)  # for a node that holds no block and does not lead
 WATCH_REQUEST_FRACTION = 0.3  # of the state service's request rate, for the watches of all nodes together
@@ -76,7 +78,7 @@
         wait = wait or pause  # lets everything else run while a user waits for an answer
         self.platform = platform
         self.recorder = Recorder(clock)
-        self._transport = transport
+        self._clock = clock
         self.wake = Event()
         self.pause_detector = PauseDetector(clock)
         self.store = StoreClient(transport, platform.store_address, platform.store, clock, pause, write_share=1.0)
@@ -142,13 +144,13 @@
             clock,
             pause,
         )
-        self.cancellation_barrier = CancellationBarrier(
-            self.mirror,
-            platform.siblings,
-            clock,
-            spawn,
-            wait,
-            lambda sibling: sibling_revision(transport, sibling.address),
+
+        def sibling_requests() -> SiblingRequests:
+            return SiblingRequests(platform.siblings, spawn, partial(request_state, transport))
+
+        self.cancellation_barrier = CancellationBarrier(self.mirror, sibling_requests(), clock, wait)
+        self.store_access = StoreAccessMonitor(
+            self.mirror, sibling_requests(), clock, self.recorder, lambda: self.worker_registry.higher_token_seen
         )
         self.intake = Intake(
             platform,
@@ -160,6 +162,7 @@
             clock,
             self.recorder,
             self.cancellation_barrier,
+            self.store_access,
         )
         self.record_writer = RecordWriter(self.store, self.mirror, self.job_index, clock, self.intake.cache_ended_job)
         self.holder_scheduler = HolderScheduler(
@@ -238,24 +241,22 @@
         if self.blocks.own_grant(report.zone) is None:
             # A node with a stale mirror names no holder. Two such nodes once redirected
             # their workers to each other until the workers' leases ended.
-            may_redirect = holder != self.platform.node and self.intake.fresh
+            may_redirect = holder != self.platform.node and self.mirror.fresh
             return 421, workers.redirect_answer(holder if may_redirect else None)
-        if not self.intake.fresh and self.intake.sibling_has_fresh_mirror:
-            # Only this node's mirror is stale, so another node holds its blocks or
-            # soon will. The worker should look for that node at once.
+        if self.store_access.proved_behind:
+            # Another node holds this node's blocks or soon will, and the worker should look
+            # for it at once. A presumption does not suffice: it could end the worker's lease.
             return 503, b"{}"
         return self.worker_registry.handle_report(report)
 
-    def ask_siblings(self) -> None:
-        """While this node's mirror is stale, ask the siblings whether theirs is fresh."""
+    def mirror_state(self) -> dict:
+        """What this node tells a sibling that asks for the state of its mirror."""
+        return encode_state(self.mirror)
+
+    def check_store_access(self) -> None:
+        """While this node's mirror is stale, find out whether only this node lacks the state service."""
         self.leadership.log_renewal_change()
-        if self.intake.fresh:
-            self.intake.sibling_has_fresh_mirror = False
-            return
-        answers = (sibling_is_fresh(self._transport, sibling.address) for sibling in self.platform.siblings)
-        # A node that cannot reach its siblings has nobody to ask, but its workers may know:
-        # a higher token that a worker has seen comes from another holder.
-        self.intake.sibling_has_fresh_mirror = self.worker_registry.higher_token_seen or any(answers)
+        self.store_access.check()
 
     def stop_tasks(self) -> None:
         """Send workers the required stops, even while a round is waiting."""
@@ -343,7 +344,9 @@
 
             metrics = Metrics(self.node)
         sibling_server = create_server(
-            self._platform.internal_address, SiblingApplication(self.node.intake, metrics), Pool(SMALL_POOL_SOCKETS)
+            self._platform.internal_address,
+            SiblingApplication(self.node.mirror_state, metrics),
+            Pool(SMALL_POOL_SOCKETS),
         )
         user_server.start()
         sibling_server.start()
@@ -429,5 +432,5 @@
         sleep(HEARTBEAT_INTERVAL)
 
     def _peers(self) -> None:
-        sleep(SIBLING_CHECK_INTERVAL)
-        self.node.ask_siblings()
+        sleep(CHECK_INTERVAL)
+        self.node.check_store_access()
--- a/kelpjunction/http.py
+++ b/kelpjunction/http.py
@@ -3,7 +3,6 @@
 import logging
 import math
 from collections.abc import Callable, Iterable
-from datetime import timedelta
 from typing import TYPE_CHECKING
 
 import orjson
@@ -11,7 +10,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from kelpjunction.intake import Intake, UserResponse
-from kelpjunction.transport import NoResponse, Transport
+from kelpjunction.siblings import PEER_PATH
 from kelpjunction.wire import users, workers
 from kelpjunction.wire.users import MalformedMessage
 
@@ -31,7 +30,6 @@
     500: "500 Internal Server Error",
     503: "503 Service Unavailable",
 }
-PEER_PATH = "/peer"
 METRICS_PATH = "/metrics"
 
 
@@ -188,8 +186,8 @@
 class SiblingApplication:
     """The WSGI application for siblings: the state of this node's mirror, and its metrics if they are enabled."""
 
-    def __init__(self, intake: Intake, metrics: "Metrics | None" = None) -> None:
-        self._intake = intake
+    def __init__(self, mirror_state: Callable[[], dict], metrics: "Metrics | None" = None) -> None:
+        self._mirror_state = mirror_state
         self._metrics = metrics
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
@@ -201,28 +199,4 @@
             return [text]
         if environ["PATH_INFO"] != PEER_PATH:
             return respond(start_response, UserResponse(404, b"{}"))
-        return respond(start_response, UserResponse(200, orjson.dumps(sibling_answer(self._intake))))
-
-
-def sibling_answer(intake: Intake) -> dict:
-    """What a node tells its siblings: whether its mirror is fresh, and the revision that the mirror has reached."""
-    return {"fresh": intake.fresh, "revision": intake.mirror_revision}
-
-
-def sibling_revision(transport: Transport, address: str) -> int | None:
-    """The revision that a sibling's mirror has reached; None if it does not answer, or does not tell."""
-    try:
-        reply = transport.request(address, "GET", PEER_PATH, None, timedelta(seconds=1))
-    except NoResponse:
-        return None
-    revision = reply.fields.get("revision")
-    return revision if reply.status == 200 and isinstance(revision, int) else None
-
-
-def sibling_is_fresh(transport: Transport, address: str) -> bool:
-    """Whether a sibling answers and has a fresh mirror."""
-    try:
-        reply = transport.request(address, "GET", PEER_PATH, None, timedelta(seconds=1))
-    except NoResponse:
-        return False
-    return reply.status == 200 and reply.fields.get("fresh") is True
+        return respond(start_response, UserResponse(200, orjson.dumps(self._mirror_state())))
--- a/kelpjunction/intake/__init__.py
+++ b/kelpjunction/intake/__init__.py
@@ -21,6 +21,7 @@
 from kelpjunction.rate_limiter import Purpose
 from kelpjunction.recorder import Event, Recorder
 from kelpjunction.settings import PlatformSettings, Team
+from kelpjunction.store.access import StoreAccessMonitor
 from kelpjunction.store.client import CommitStatus, StoreClient, StoreUnavailable
 from kelpjunction.store.mirror import Mirror, Verifier
 from kelpjunction.wire import users as wire
@@ -85,9 +86,11 @@
         clock: Clock,
         recorder: Recorder,
         cancellation_barrier: CancellationBarrier,
+        store_access: StoreAccessMonitor,
     ) -> None:
         self._recorder = recorder
         self._cancellation_barrier = cancellation_barrier
+        self._store_access = store_access
         self._teams = platform.teams
         self._store = store
         self._mirror = mirror
@@ -96,7 +99,6 @@
         self._fleet = fleet
         self._clock = clock
         self._ended_jobs: OrderedDict[str, JobPhase] = OrderedDict()
-        self.sibling_has_fresh_mirror = False
 
     # -- submit -------------------------------------------------------------
 
@@ -253,22 +255,6 @@
 
     # -- health -------------------------------------------------------------
 
-    @property
-    def mirror_revision(self) -> int:
-        """The revision that this node's mirror has reached; 0 before it is loaded."""
-        return self._mirror.revision or 0
-
-    @property
-    def fresh(self) -> bool:
-        """Whether this node's mirror is fresh."""
-        return self._mirror.fresh
-
     def healthy(self) -> bool:
-        """Whether this node should receive requests.
-
-        It is unhealthy while it starts, and while its mirror is stale although
-        a sibling's is fresh.  In an outage that affects all nodes it stays
-        healthy: leaving the load balancer would only cost minutes of doubled
-        pauses after the outage.
-        """
-        return self._mirror.loaded and (self.fresh or not self.sibling_has_fresh_mirror)
+        """Whether this node should receive requests: not while it starts, nor while only it lacks the state service."""
+        return self._mirror.loaded and self._store_access.should_serve
--- a/kelpjunction/intake/confirmation.py
+++ b/kelpjunction/intake/confirmation.py
@@ -7,13 +7,15 @@
 still act on what it knew before.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 from typing import Any, NamedTuple
 
 from kelpjunction.clock import Clock
 from kelpjunction.jobs.job_index import JOB_PREFIX
 from kelpjunction.settings import Sibling
+from kelpjunction.siblings import SiblingRequests, SiblingState
 from kelpjunction.start_permission import may_confirm
 from kelpjunction.store.mirror import Mirror
 
@@ -29,30 +31,21 @@
 
 
 class CancellationBarrier:
-    """Holds back confirmations of cancellations.
-
-    `ask_revision(sibling)` returns the revision of a sibling's mirror, or None if it is not known.  `wait(duration)`
-    lets everything else run for that long.
-    """
+    """Holds back confirmations of cancellations; `wait(duration)` lets everything else run for that long."""
 
     def __init__(
         self,
         mirror: Mirror,
-        siblings: Iterable[Sibling],
+        siblings: SiblingRequests,
         clock: Clock,
-        spawn: Callable,
         wait: Callable[[timedelta], None],
-        ask_revision: Callable[[Sibling], int | None],
     ) -> None:
-        self._siblings = tuple(siblings)
+        self._siblings = siblings
         self._clock = clock
-        self._spawn = spawn
         self._wait = wait
-        self._ask_revision = ask_revision
         self._cancellations: dict[str, _Cancellation] = {}  # by job, of jobs that have not ended
         self._revisions: dict[str, int] = {}  # by sibling: the highest revision that its mirror had
         self._asked_at: dict[str, timedelta] = {}  # by sibling
-        self._unanswered: set[str] = set()  # siblings with a request in progress
         mirror.listen(JOB_PREFIX, self._job_changed)
 
     def wait_until_final(self, ref: str) -> None:
@@ -72,24 +65,19 @@
         cancellation = self._cancellations.get(ref)
         if cancellation is None or may_confirm(cancellation.learned_at, self._clock.steady()):
             return True
-        return all(self._revisions.get(sibling.node, 0) >= cancellation.version for sibling in self._siblings)
+        return all(self._revisions.get(s.node, 0) >= cancellation.version for s in self._siblings.siblings)
 
     def _ask_siblings(self, version: int) -> None:
         """Ask each sibling that is not known to have reached this version, at most once per interval."""
         now = self._clock.steady()
-        for sibling in self._siblings:
+        for sibling in self._siblings.siblings:
             asked_at = self._asked_at.get(sibling.node)
-            if self._revisions.get(sibling.node, 0) >= version or sibling.node in self._unanswered:
+            if self._revisions.get(sibling.node, 0) >= version:
                 continue
             if asked_at is None or now - asked_at >= SIBLING_REQUEST_INTERVAL:
                 self._asked_at[sibling.node] = now
-                self._unanswered.add(sibling.node)
-                self._spawn(self._ask, sibling)
+                self._siblings.ask(sibling, partial(self._on_answer, sibling))
 
-    def _ask(self, sibling: Sibling) -> None:
-        try:
-            revision = self._ask_revision(sibling)
-        finally:
-            self._unanswered.discard(sibling.node)
-        if revision is not None:
-            self._revisions[sibling.node] = max(revision, self._revisions.get(sibling.node, 0))
+    def _on_answer(self, sibling: Sibling, state: SiblingState) -> None:
+        if state.revision is not None:
+            self._revisions[sibling.node] = max(state.revision, self._revisions.get(sibling.node, 0))
--- a/kelpjunction/lab/world.py
+++ b/kelpjunction/lab/world.py
@@ -17,7 +17,6 @@
 
 from kelpjunction.clock import ZERO, seconds
 from kelpjunction.daemon import Node
-from kelpjunction.http import PEER_PATH, sibling_answer
 from kelpjunction.lab.balancer import LoadBalancerStandIn
 from kelpjunction.lab.interleaving import InterleavedRequests
 from kelpjunction.lab.polling_users import PollingUsers
@@ -34,6 +33,7 @@
     WorkerTimes,
     load_operator_settings,
 )
+from kelpjunction.siblings import PEER_PATH
 from kelpjunction.transport import NoResponse, Reply, RequestWithheld
 from kelpjunction.wire.users import ABORT_SUFFIX, JOBS_PATH
 
@@ -378,7 +378,7 @@
         is_cut = self.cut_from_peers & {source, name} or frozenset({source, name}) in self.cut_peer_links
         if node is None or name in self.frozen or is_cut:
             raise NoResponse("the sibling is not reachable")
-        return Reply(200, sibling_answer(node.intake))
+        return Reply(200, node.mirror_state())
 
     def reach_node(self, worker: WorkerStandIn, number: int, fields: dict) -> tuple[int, dict]:
         name = f"holdfast-{number}"
@@ -489,7 +489,7 @@
             node.machine_monitor.run_once()
         if step % 10 == 0:
             node.fleet.run_once()
-            node.ask_siblings()
+            node.check_store_access()
             node.update_ledger()
 
 
--- a/kelpjunction/metrics.py
+++ b/kelpjunction/metrics.py
@@ -40,6 +40,7 @@
         yield GaugeMetricFamily(
             "kelpjunction_leads", "1 while this node leads.", node.leadership.leader_term is not None
         )
+        yield GaugeMetricFamily("kelpjunction_healthy", "1 while /healthz answers 200.", node.intake.healthy())
         yield GaugeMetricFamily("kelpjunction_jobs", "Jobs that are not over.", len(node.job_index.jobs))
         yield GaugeMetricFamily(
             "kelpjunction_jobs_waiting", "Jobs with tasks to hand over.", len(node.job_index.pending_jobs)
--- a/tests/disruptions.py
+++ b/tests/disruptions.py
@@ -1,14 +1,20 @@
 """Disruptions of the soak that `FaultSchedule` does not play; each returns its world after the last fault."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, nullcontext
 from random import Random
 
 from kelpjunction.lab.cloud import MachineSize
-from kelpjunction.lab.worker import WorkerStandIn
+from kelpjunction.lab.polling_users import POLL_INTERVAL
+from kelpjunction.lab.worker import MessageLoss, WorkerStandIn
 from kelpjunction.lab.world import World, seconds
 
 EXIT_CAUSES = ("error", "error", "stopped", "mates_gone", "done")
 SICK_FOR_S = (0.5, 3.0, 20.0, 90.0, 150.0)
+ISOLATED_FOR_S = (5.0, 30.0, 60.0, 110.0, 150.0)
+OUTAGE_FOR_S = (5.0, 30.0, 70.0)
+RESTART_S = 8.0  # how long a controller that ends is down
+POLLING_USERS = 12
 SLOW_ANSWERS_S = ((0.1, 0.4), (0.3, 0.9), (0.8, 1.8), (1.5, 4.0))
 
 
@@ -185,3 +191,86 @@
     world.cut_from_store = set()
     world.run(5)
     return world
+
+
+# -- isolated controllers -------------------------------------------------------------------
+
+
+class IsolationSchedule:
+    """Isolates controllers and lets the state service fail for all, while users poll through a load balancer."""
+
+    def __init__(self, seed: int) -> None:
+        node_count = Random(seed).choice([3, 5, 5])
+        self.world = World(seed=seed, machines=9, capacity=15, interleaved=True, node_count=node_count)
+        self.random = self.world.random
+        self.left_in_outage: list[str] = []  # nodes that left the load balancer though they were not isolated
+
+    def play(self, rounds: int = 5) -> World:
+        world, random = self.world, self.random
+        world.run(5)
+        for number in range(POLLING_USERS):
+            ref = f"j-9{number:03d}"
+            assert world.submit(ref, shape="service", urgency="prod", cpus=1.0) == 201
+            world.polling_users.add(ref, POLL_INTERVAL * random.random())
+        world.run(10)
+        for number in range(rounds):
+            submit_random_job(world, random, f"j-{number:04d}")
+            random.choice([self._isolate, self._isolate, self._isolate, self._common_outage])()
+            world.run(random.uniform(5, 40))
+            if random.random() < 0.3:
+                world.abort(random.choice(sorted(world.jobs.keys() - world.polling_users.users.keys())))
+        world.run(10)
+        return world
+
+    def _isolate(self) -> None:
+        """Isolate one or two controllers; the isolation may begin in an outage or while others restart."""
+        world, random = self.world, self.random
+        names = random.sample(world.node_names, random.choice([1, 1, 2]))
+        if random.random() < 0.3:
+            names = [world.leader_name() or names[0]]
+        with self._silent_machines(names) if random.random() < 0.3 else nullcontext():
+            if random.random() < 0.3:
+                world.store.outage(True)
+                world.run(random.uniform(0, 20))
+            world.isolate_together(*names)
+            if random.random() < 0.3:
+                self._restart([n for n in world.node_names if n not in names])
+            world.run_after(random.choice(OUTAGE_FOR_S), lambda: world.store.outage(False))
+            world.run(random.choice(ISOLATED_FOR_S))
+        world.store.outage(False)
+        world.isolate_together()
+
+    def _common_outage(self) -> None:
+        """Let the state service fail for all, while a sibling may restart or be cut off for seconds."""
+        world, random = self.world, self.random
+        world.run(20)  # all controllers have recovered from what happened before
+        world.store.outage(True)
+        harmed = {random.choice(world.node_names)}
+        if random.random() < 0.5:
+            self._restart(sorted(harmed))
+        else:
+            world.cut_from_peers, harmed = harmed, set()
+            world.run_after(random.uniform(1, 20), world.isolate_together)
+        before = {name: world.balancer.removals(name) for name in world.node_names}
+        world.run(random.choice(OUTAGE_FOR_S))
+        world.store.outage(False)
+        world.run(5)
+        self.left_in_outage += [
+            name for name in world.node_names if name not in harmed and world.balancer.removals(name) > before[name]
+        ]
+
+    def _restart(self, names: list[str]) -> None:
+        for name in self.random.sample(names, self.random.choice([1, len(names)])):
+            self.world.kill_node(name)
+            self.world.run_after(RESTART_S, lambda name=name: self.world.runs(name) or self.world.start_node(name))
+
+    @contextmanager
+    def _silent_machines(self, names: list[str]) -> Iterator[None]:
+        """The reports of the machines of these controllers' blocks are lost meanwhile."""
+        zones = {zone for name in names if (node := self.world.nodes[name]) for zone in node.blocks.held_zones()}
+        workers = [worker for worker, _ in self.world.cloud.machines.values() if worker.zone in zones]
+        for worker in workers:
+            worker.message_loss = MessageLoss.OUTBOUND_LOST
+        yield
+        for worker in workers:
+            worker.message_loss = None
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,6 +5,7 @@
 1: worker processes are restarted, and copies of reports of the earlier process arrive as its successor's next report.
 2: machines of different types fail what they start for a while.
 3: the state service answers one controller slowly while users cancel.
+4: controllers are isolated, or the state service fails for all, while users poll through a load balancer.
 Others: a random schedule of faults with interleaved exchanges.
 Prints each seed that is not clean.
 """
@@ -13,7 +14,7 @@
 import sys
 import time
 from concurrent.futures import ProcessPoolExecutor, as_completed
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import disruptions
 from disruptions import run_and_poll
@@ -35,6 +36,7 @@
     idle: list[str] = field(default_factory=list)  # jobs that wait although there is capacity for them
     forgotten: list[str] = field(default_factory=list)  # jobs with unanswered polls
     contradictions: list[str] = field(default_factory=list)
+    left_in_outage: list[str] = field(default_factory=list)  # nodes that left the load balancer in an outage for all
 
     @classmethod
     def of(cls, seed: int, world: World) -> "SeedResult":
@@ -111,7 +113,20 @@
     return recovered(seed, disruptions.answer_one_controller_slowly(seed))
 
 
-PLAY_BY_LAST_DIGIT = {0: play_restarts, 1: play_process_restarts, 2: play_failing_machines, 3: play_slow_answers}
+def play_isolation(seed: int) -> SeedResult:
+    """Isolate controllers while users poll through a load balancer."""
+    schedule = disruptions.IsolationSchedule(seed)
+    result = recovered(seed, schedule.play())
+    return replace(result, left_in_outage=schedule.left_in_outage)
+
+
+PLAY_BY_LAST_DIGIT = {
+    0: play_restarts,
+    1: play_process_restarts,
+    2: play_failing_machines,
+    3: play_slow_answers,
+    4: play_isolation,
+}
 
 
 def play_seed(seed: int) -> SeedResult:
--- a/tests/test_blocks.py
+++ b/tests/test_blocks.py
@@ -31,13 +31,13 @@
     status, answer = old.handle_report(report)
     assert status == 200, "the node can't yet tell an outage of the store from its own disconnection"
     assert orjson.loads(answer)["helm"] < new.blocks.own_token("b")
-    old.intake.sibling_has_fresh_mirror = True
     world.run(3)
     assert old.handle_report(report)[0] == 503, (
-        "a sibling's mirror is fresh, so only this node is cut off from the store"
+        "a sibling's mirror is ahead, so only this node is cut off from the store"
     )
-    old.intake.sibling_has_fresh_mirror = False
+    world.cut_from_peers = {old.platform.node}
     world.run(20)
+    assert not old.leadership.can_renew_leases()
     assert old.handle_report(report)[0] != 200, "the grace period without the store has ended"
 
 
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -86,10 +86,12 @@
 
 def test_node_is_unhealthy_if_only_it_lost_the_store_but_not_in_outage():
     world = ready_world()
-    intake = world.nodes["holdfast-0"].intake
     world.cut_from_store = {"holdfast-0"}
     world.run(6)
-    intake.sibling_has_fresh_mirror = True
-    assert not intake.healthy()
-    intake.sibling_has_fresh_mirror = False
-    assert intake.healthy()
+    assert not world.nodes["holdfast-0"].intake.healthy()
+    world.cut_from_store = set()
+    world.run(2)
+    assert world.nodes["holdfast-0"].intake.healthy()
+    world.store.outage(True)
+    world.run(10)
+    assert all(node.intake.healthy() for node in world.nodes.values())
--- a/tests/test_interfaces.py
+++ b/tests/test_interfaces.py
@@ -216,12 +216,13 @@
         body = application({"PATH_INFO": "/metrics"}, lambda status, headers: statuses.append(status))
         return statuses[0], b"".join(body)
 
-    assert get_metrics(SiblingApplication(node.intake))[0].startswith("404")
-    status, text = get_metrics(SiblingApplication(node.intake, Metrics(node)))
+    assert get_metrics(SiblingApplication(node.mirror_state))[0].startswith("404")
+    status, text = get_metrics(SiblingApplication(node.mirror_state, Metrics(node)))
     figures = dict(line.split(" ") for line in text.decode().splitlines() if not line.startswith("#"))
     assert status.startswith("200")
     assert float(figures["kelpjunction_leads"]) == 1
     assert float(figures["kelpjunction_rounds_total"]) == node.rounds > 50
+    assert float(figures["kelpjunction_healthy"]) == 1
     assert float(figures["kelpjunction_blocks_held"]) == len(node.blocks.held_zones()) > 0
     assert float(figures["kelpjunction_store_requests_total"]) == node.store.requests > 100
     assert sum(n.worker_registry.starts for n in world.nodes.values()) == 3
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 from soak import (
     SeedResult,
     play_failing_machines,
+    play_isolation,
     play_process_restarts,
     play_restarts,
     play_schedule,
@@ -34,3 +35,8 @@
 @pytest.mark.parametrize("seed", range(803, 883, 10))
 def test_slow_answers_to_one_controller_while_users_cancel(seed):
     assert play_slow_answers(seed) == SeedResult(seed)
+
+
+@pytest.mark.parametrize("seed", range(804, 864, 10))
+def test_isolated_controllers_while_users_poll_through_a_load_balancer(seed):
+    assert play_isolation(seed) == SeedResult(seed)
