A sibling proves to be ahead only if its mirror was current for longer

Cause: a watch waits for up to 2 s, so at the beginning of an outage for all nodes the mirrors go stale up to that far apart, and the first node to be stale may find its siblings' mirrors still fresh. That was harmless while the next question, a second later, cleared it. Since proof lasts until the node's own mirror is fresh again, it would keep the node out of the load balancer for the whole outage.

Change: the answer to `/peer` tells the age of the mirror (`age_ms`). A sibling proves to be ahead if its mirror is fresh and was current for more than 4 s longer than this node's: twice what watches can make of it. A sibling of the version in production tells no age; its fresh mirror counts as 4 s old, so it is proof only 8 s after this node's last update instead of 4 s.

--- a/kelpjunction/daemon.py
+++ b/kelpjunction/daemon.py
@@ -251,7 +251,7 @@
 
     def mirror_state(self) -> dict:
         """What this node tells a sibling that asks for the state of its mirror."""
-        return encode_state(self.mirror)
+        return encode_state(self.mirror, self._clock.steady())
 
     def check_store_access(self) -> None:
         """While this node's mirror is stale, find out whether only this node lacks the state service."""
--- a/kelpjunction/siblings.py
+++ b/kelpjunction/siblings.py
@@ -5,9 +5,10 @@
 """
 
 from collections.abc import Callable, Iterable
+from datetime import timedelta
 from typing import NamedTuple
 
-from kelpjunction.clock import seconds
+from kelpjunction.clock import MILLISECOND, seconds
 from kelpjunction.settings import Sibling
 from kelpjunction.store.mirror import Mirror
 from kelpjunction.transport import NoResponse, Transport
@@ -21,17 +22,23 @@
 
     fresh: bool
     revision: int | None = None  # that the mirror has reached; None if the sibling's version does not tell
+    age: timedelta | None = None  # time since the mirror was known to be current; None as above, or before it is loaded
 
 
-def encode_state(mirror: Mirror) -> dict:
-    """The answer to a sibling that asks for the state of this node's mirror."""
-    return {"fresh": mirror.fresh, "revision": mirror.revision or 0}
+def encode_state(mirror: Mirror, now: timedelta) -> dict:
+    """The answer to a sibling that asks for the state of this node's mirror; `now` is this node's steady time."""
+    age = None if mirror.known_until is None else (now - mirror.known_until) // MILLISECOND
+    return {"fresh": mirror.fresh, "revision": mirror.revision or 0, "age_ms": age}
 
 
 def parse_state(fields: dict) -> SiblingState:
     """Parse a sibling's answer."""
-    revision = fields.get("revision")
-    return SiblingState(fields.get("fresh") is True, revision if isinstance(revision, int) else None)
+    revision, age = fields.get("revision"), fields.get("age_ms")
+    return SiblingState(
+        fields.get("fresh") is True,
+        revision if isinstance(revision, int) else None,
+        age * MILLISECOND if isinstance(age, int) else None,
+    )
 
 
 def request_state(transport: Transport, sibling: Sibling) -> SiblingState | None:
--- a/kelpjunction/store/access.py
+++ b/kelpjunction/store/access.py
@@ -5,9 +5,9 @@
 with each removal.  A node that is cut off alone must leave it, because the balancer keeps the connections of its users
 there, and they get no answers.  What this node concludes from siblings and workers:
 
-    a sibling is fresh                              another node can serve: proof
+    a sibling is fresh and ahead of this node       another node can serve: proof
     a worker has seen a higher token                another node was granted this node's block: proof
-    every sibling has answered, and none is fresh   an outage for all nodes
+    every sibling has answered, and none is ahead   an outage for all nodes
     a sibling does not answer                       nothing for `MAX_SIBLING_SILENCE`, in which it may restart or be cut
                                                     off briefly; then it may be one that serves, so this node leaves
 
@@ -28,7 +28,7 @@
 from kelpjunction.recorder import Event, Recorder
 from kelpjunction.settings import Sibling
 from kelpjunction.siblings import SiblingRequests, SiblingState
-from kelpjunction.store.mirror import Mirror
+from kelpjunction.store.mirror import STALE_AFTER, Mirror
 
 log = logging.getLogger("store")
 
@@ -63,6 +63,17 @@
     revision: int
 
 
+def is_ahead(sibling: SiblingState, asked_at: timedelta, known_until: timedelta) -> bool:
+    """Whether a sibling's mirror is fresh and was current for more than `STALE_AFTER` longer than this node's.
+
+    `asked_at` is this node's steady time before it asked, `known_until` that until which its own mirror is current.
+    At the beginning of an outage for all nodes the mirrors differ by up to the duration of a watch, so a sibling
+    whose mirror is merely still fresh proves nothing.  A fresh mirror of unknown age is less than `STALE_AFTER` old.
+    """
+    age = STALE_AFTER if sibling.age is None else sibling.age
+    return sibling.fresh and asked_at - age > known_until + STALE_AFTER
+
+
 class StoreAccessMonitor:
     """Tracks this node's access to the state service; while its mirror is stale, it asks all siblings."""
 
@@ -102,9 +113,9 @@
             self._become(StoreAccess.CURRENT, "the mirror is fresh")
             self._silence.clear()
         elif self._mirror.loaded:
-            self._check_siblings(elapsed)
+            self._check_siblings(now, elapsed)
 
-    def _check_siblings(self, elapsed: timedelta) -> None:
+    def _check_siblings(self, now: timedelta, elapsed: timedelta) -> None:
         if self.access is StoreAccess.CURRENT:
             self._become(StoreAccess.SHARED_OUTAGE, "the mirror is stale")
             elapsed = ZERO
@@ -112,16 +123,16 @@
             self._become(StoreAccess.BEHIND, "a worker has seen a higher token")
         for sibling in self._siblings.siblings:
             self._silence[sibling.node] = self._silence.get(sibling.node, ZERO) + elapsed
-            self._siblings.ask(sibling, partial(self._on_answer, sibling))
+            self._siblings.ask(sibling, partial(self._on_answer, sibling, now))
         if self.access is StoreAccess.SHARED_OUTAGE and max(self._silence.values(), default=ZERO) > MAX_SIBLING_SILENCE:
             self._become(StoreAccess.ISOLATED, "a sibling has been silent for too long")
 
-    def _on_answer(self, sibling: Sibling, state: SiblingState) -> None:
+    def _on_answer(self, sibling: Sibling, asked_at: timedelta, state: SiblingState) -> None:
         if self._mirror.fresh:
             return
         self._silence[sibling.node] = ZERO
-        if state.fresh:
-            self._become(StoreAccess.BEHIND, f"the mirror of {sibling.node} is fresh")
+        if is_ahead(state, asked_at, self._mirror.known_until):
+            self._become(StoreAccess.BEHIND, f"{sibling.node} is ahead")
 
     def _become(self, access: StoreAccess, reason: str) -> None:
         """Change `access` and record it, and log whether this node serves; nothing else sets `access`."""
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from kelpjunction.clock import seconds
+from kelpjunction.clock import ZERO, seconds
 from kelpjunction.lab.world import SimClock
 from kelpjunction.recorder import Recorder
 from kelpjunction.settings import Sibling
@@ -14,11 +14,12 @@
     MAX_SIBLING_SILENCE,
     StoreAccess,
     StoreAccessMonitor,
+    is_ahead,
 )
 from kelpjunction.store.mirror import STALE_AFTER
 
 SIBLINGS = (Sibling("holdfast-1", "b", "10.0.0.1:8081"), Sibling("holdfast-2", "c", "10.0.0.2:8081"))
-STALE = SiblingState(fresh=False, revision=1)
+STALE = SiblingState(fresh=False, revision=1, age=seconds(5))
 
 
 class FakeMirror:
@@ -126,8 +127,8 @@
     assert node.monitor.access is StoreAccess.SHARED_OUTAGE
 
 
-def test_fresh_sibling_proves_that_only_this_node_is_cut_off(node):
-    node.answers = dict.fromkeys(node.answers, SiblingState(fresh=True, revision=2))
+def test_sibling_that_is_ahead_proves_that_only_this_node_is_cut_off(node):
+    node.answers = dict.fromkeys(node.answers, SiblingState(fresh=True, revision=2, age=seconds(0.5)))
     node.run(STALE_AFTER + CHECK_INTERVAL)
     assert node.monitor.proved_behind
     node.answers = dict.fromkeys(node.answers)
@@ -141,13 +142,37 @@
     assert node.monitor.proved_behind
 
 
+def test_sibling_whose_watch_ended_later_proves_nothing(node):
+    """A watch waits for up to two seconds, so in an outage for all nodes the mirrors go stale that far apart.
+
+    A node that took a mirror that is still fresh for proof would leave the load balancer for the whole outage.
+    """
+    outage_age = seconds(0)
+    for _ in range(8):
+        node.run(CHECK_INTERVAL)
+        outage_age += CHECK_INTERVAL
+        age = outage_age - seconds(2.5)  # known to be current until 2.5 s after this node's mirror
+        fresh = age < STALE_AFTER
+        node.answers = dict.fromkeys(node.answers, SiblingState(fresh, 1, max(ZERO, age)))
+        assert node.monitor.should_serve
+
+
+def test_sibling_of_unknown_age_counts_as_old_as_a_fresh_mirror_can_be():
+    fresh, known_until = SiblingState(fresh=True), seconds(100)
+    assert not is_ahead(fresh, known_until + 2 * STALE_AFTER, known_until)
+    assert is_ahead(fresh, known_until + 2 * STALE_AFTER + seconds(0.1), known_until)
+    assert not is_ahead(SiblingState(fresh=False, age=ZERO), seconds(200), known_until)
+
+
 def test_state_of_a_mirror_on_the_wire():
-    mirror = FakeMirror(SimClock())
-    fields = encode_state(mirror)
-    assert fields == {"fresh": True, "revision": 1}
-    assert parse_state(fields) == SiblingState(True, 1)
+    clock = SimClock()
+    mirror = FakeMirror(clock)
+    clock.now += seconds(1.2345)
+    fields = encode_state(mirror, clock.now)
+    assert fields == {"fresh": True, "revision": 1, "age_ms": 1234}
+    assert parse_state(fields) == SiblingState(True, 1, seconds(1.234))
     mirror.known_until = mirror.revision = None
-    assert encode_state(mirror) == {"fresh": False, "revision": 0}
+    assert encode_state(mirror, clock.now) == {"fresh": False, "revision": 0, "age_ms": None}
 
 
 @pytest.mark.parametrize("fields", [{}, {"fresh": "yes"}, {"fresh": 1, "revision": "1", "age_ms": "0"}])
