The components of a node have a module of their own, apart from its process

Cause: `daemon` held two classes of 430 lines together: `Node`, which connects the packages, and `Daemon`, which owns the servers and loops.

Change: `Node` is `kelpjunction.node.Node`; no line of either class was changed. The log's slice stays `daemon`.

--- a/kelpjunction/lab/world.py
+++ b/kelpjunction/lab/world.py
@@ -16,13 +16,13 @@
 from greenlet import getcurrent, greenlet
 
 from kelpjunction.clock import ZERO, seconds
-from kelpjunction.daemon import Node
 from kelpjunction.lab.balancer import LoadBalancerStandIn
 from kelpjunction.lab.interleaving import InterleavedRequests
 from kelpjunction.lab.polling_users import PollingUsers
 from kelpjunction.lab.site import CLOUD_LIMITS, GUEST, STORE_LIMITS, TEAMS, Site
 from kelpjunction.lab.worker import MessageLoss, WorkerStandIn
 from kelpjunction.leadership import LeaderTerm
+from kelpjunction.node import Node
 from kelpjunction.recorder import Event
 from kelpjunction.settings import (
     OperatorSettings,
--- a/kelpjunction/metrics.py
+++ b/kelpjunction/metrics.py
@@ -14,7 +14,7 @@
 from kelpjunction.rate_limiter import LimiterState
 
 if TYPE_CHECKING:
-    from kelpjunction.daemon import Node
+    from kelpjunction.node import Node
 
 
 class Metrics:
