A sibling that was down before an outage makes nobody leave the load balancer for it

What callers saw: in an outage for all of over 34 s beside a node that is down, every other node left the load balancer once, and its users waited for two probes more; again within two minutes, for a doubled pause.

Cause: a silent sibling counted as one that may serve, also if the mirror, while it was still fresh, said that it was no member.

Change: the silence of a sibling that was no member counts after 60 s instead of 30 s. Not never: it may start and serve while this node is cut off. 4 s, 60 s, two probes, 5 s and the next poll stay below 90 s.

The file's and the unit tests pass.

--- a/kelpjunction/node.py
+++ b/kelpjunction/node.py
@@ -133,7 +133,12 @@
 
         self.cancellation_barrier = CancellationBarrier(self.mirror, sibling_requests(), clock, wait)
         self.store_access = StoreAccessMonitor(
-            self.mirror, sibling_requests(), clock, self.recorder, lambda: self.worker_registry.higher_token_seen
+            self.mirror,
+            sibling_requests(),
+            clock,
+            self.recorder,
+            is_member=lambda name: name in self.leadership.members,
+            higher_token_seen=lambda: self.worker_registry.higher_token_seen,
         )
         self.intake = Intake(
             platform,
--- a/kelpjunction/store/access.py
+++ b/kelpjunction/store/access.py
@@ -10,6 +10,8 @@
     every sibling has answered, and none is ahead   an outage for all nodes
     a sibling does not answer                       nothing for `MAX_SIBLING_SILENCE`, in which it may restart or be cut
                                                     off briefly; then it may be one that serves, so this node leaves
+    a sibling does not answer, and was no member    the same after `MAX_ABSENT_SIBLING_SILENCE`: it was down, and is
+    when this node's mirror was last fresh          probably still down; but it may have started and serve
 
 One silent sibling suffices: two nodes that are cut off together hear each other, and one node can serve all users.
 Proof and presumption hold until this node's own mirror is fresh again, so a node leaves the load balancer at most once
@@ -36,6 +38,8 @@
 # Longer than a sibling's restart or a brief cut.  With the time until the load balancer resets the connections and
 # users poll again, it leaves half of the 90 s after which an unanswered job counts as forgotten.
 MAX_SIBLING_SILENCE = seconds(30)
+# For a sibling that was no member.  With all that comes after it, it still stays below those 90 s.
+MAX_ABSENT_SIBLING_SILENCE = seconds(60)
 # The time that one check may add to a sibling's silence.  A longer time since the last check means that this
 # process was paused and could hear nobody.
 MAX_SILENCE_PER_CHECK = 2 * CHECK_INTERVAL
@@ -75,7 +79,11 @@
 
 
 class StoreAccessMonitor:
-    """Tracks this node's access to the state service; while its mirror is stale, it asks all siblings."""
+    """Tracks this node's access to the state service; while its mirror is stale, it asks all siblings.
+
+    `is_member` tells whether a node was a member when the mirror was last fresh, and `higher_token_seen` whether a
+    worker of this node's blocks has seen a higher token than this node's.
+    """
 
     def __init__(
         self,
@@ -83,12 +91,14 @@
         siblings: SiblingRequests,
         clock: Clock,
         recorder: Recorder,
-        higher_token_seen: Callable[[], bool],
+        is_member: Callable[[str], bool],
+        higher_token_seen: Callable[[], bool] = lambda: False,
     ) -> None:
         self._mirror = mirror
         self._siblings = siblings
         self._clock = clock
         self._recorder = recorder
+        self._is_member = is_member
         self._higher_token_seen = higher_token_seen
         self._checked_at = clock.steady()
         self._silence: dict[str, timedelta] = {}  # by sibling: time without an answer while this node's mirror is stale
@@ -124,9 +134,13 @@
         for sibling in self._siblings.siblings:
             self._silence[sibling.node] = self._silence.get(sibling.node, ZERO) + elapsed
             self._siblings.ask(sibling, partial(self._on_answer, sibling, now))
-        if self.access is StoreAccess.SHARED_OUTAGE and max(self._silence.values(), default=ZERO) > MAX_SIBLING_SILENCE:
+        if self.access is StoreAccess.SHARED_OUTAGE and any(map(self._is_silent_for_too_long, self._silence)):
             self._become(StoreAccess.ISOLATED, "a sibling has been silent for too long")
 
+    def _is_silent_for_too_long(self, sibling: str) -> bool:
+        limit = MAX_SIBLING_SILENCE if self._is_member(sibling) else MAX_ABSENT_SIBLING_SILENCE
+        return self._silence[sibling] > limit
+
     def _on_answer(self, sibling: Sibling, asked_at: timedelta, state: SiblingState) -> None:
         if self._mirror.fresh:
             return
--- a/tests/test_isolated_users.py
+++ b/tests/test_isolated_users.py
@@ -143,6 +143,23 @@
     assert [world.balancer.removals(name) for name in isolated] == [1, 1]
 
 
+def test_isolation_of_the_only_running_node():
+    """Siblings that were no members when the isolation began may start and serve, so their silence counts too."""
+    world = world_with_users(node_count=3)
+    isolated, *others = world.node_names
+    for name in others:
+        world.kill_node(name)
+    world.run(15)
+    assert set(world.nodes[isolated].leadership.members) == {isolated}
+    world.isolate_together(isolated)
+    world.run(5)
+    for name in others:
+        world.start_node(name)
+    world.run(ISOLATION_S)
+    assert longest_failure(world) < MAX_FAILING_TIME
+    assert world.balancer.removals(isolated) == 1
+
+
 def test_isolation_goes_unnoticed_without_the_health_check(monkeypatch):
     """The tests above mean something only if the rule catches a node that keeps its users."""
     monkeypatch.setattr(StoreAccessMonitor, "should_serve", True)
@@ -218,6 +235,20 @@
         assert first_answer - ended_at <= 2 * POLL_INTERVAL
 
 
+@pytest.mark.parametrize("node_count", [3, 5])
+def test_no_node_leaves_in_an_outage_while_a_sibling_is_down_from_before_it(node_count):
+    """Regression: the silence of a sibling that was down made every other node leave, without use to anybody."""
+    world = world_with_users(node_count)
+    down, *unharmed = world.node_names
+    world.kill_node(down)
+    world.run(20)
+    world.store.outage(True)
+    world.run(60)
+    world.store.outage(False)
+    world.run(10)
+    assert [name for name in unharmed if world.balancer.removals(name)] == []
+
+
 def test_node_leaves_once_while_a_sibling_comes_and_goes():
     """Each removal from the load balancer doubles its pause."""
     world = world_with_users(node_count=3)
--- a/tests/test_store_access.py
+++ b/tests/test_store_access.py
@@ -11,6 +11,7 @@
 from kelpjunction.siblings import SiblingRequests, SiblingState, encode_state, parse_state
 from kelpjunction.store.access import (
     CHECK_INTERVAL,
+    MAX_ABSENT_SIBLING_SILENCE,
     MAX_SIBLING_SILENCE,
     StoreAccess,
     StoreAccessMonitor,
@@ -48,9 +49,15 @@
         self.answers: dict[str, SiblingState | None] = dict.fromkeys(s.node for s in SIBLINGS)
         self.asked = 0
         requests = SiblingRequests(SIBLINGS, lambda function, *args: function(*args), self._answer)
+        self.members = set(self.answers)
         self.higher_token_seen = False
         self.monitor = StoreAccessMonitor(
-            self.mirror, requests, self.clock, Recorder(self.clock), lambda: self.higher_token_seen
+            self.mirror,
+            requests,
+            self.clock,
+            Recorder(self.clock),
+            is_member=lambda name: name in self.members,
+            higher_token_seen=lambda: self.higher_token_seen,
         )
 
     def _answer(self, sibling: Sibling) -> SiblingState | None:
@@ -92,6 +99,15 @@
     assert node.monitor.access is StoreAccess.ISOLATED
 
 
+def test_silence_of_absent_sibling_counts_only_after_longer(node):
+    node.members = {"holdfast-1"}
+    node.answers["holdfast-1"] = STALE
+    node.run(STALE_AFTER + MAX_ABSENT_SIBLING_SILENCE)
+    assert node.monitor.access is StoreAccess.SHARED_OUTAGE
+    node.run(2 * CHECK_INTERVAL)
+    assert node.monitor.access is StoreAccess.ISOLATED
+
+
 def test_each_answer_ends_a_siblings_silence(node):
     node.answers["holdfast-1"] = STALE
     for _ in range(5):
