A ticket gateway stays in its load balancer in an outage for all

What callers saw: each gateway answered /healthz with 503 after 4 s without the state service, so that in an outage for all every gateway left its load balancer, whose pause doubles with each removal.

Cause: a gateway took its own silence for a fault of its own: the opposite conclusion from the nodes', from the same silence.

Change: a gateway asks the nodes of its settings, with the nodes' own state machine (store.access): it leaves when a node proves to be ahead, or when one gives no answer for 30 s. Nothing more is asked of the state service.

Evidence: test_gateway_stays_healthy_in_an_outage_for_all failed and passes; an isolated gateway is unhealthy within 10 s if it hears the nodes and within 40 s if not (test_isolated_gateway_...; 4 s before).

--- a/kelpjunction/lab/ticket_simulation.py
+++ b/kelpjunction/lab/ticket_simulation.py
@@ -108,6 +108,8 @@
         gateway.follow(gateway.tickets)
         if self._step_count % 5 == 0:
             gateway.leadership.run_once()
+        if self._step_count % 10 == 0:
+            gateway.store_access.check()
         if self._step_count % 100 == 0:
             gateway.sweep()
 
--- a/kelpjunction/leadership/__init__.py
+++ b/kelpjunction/leadership/__init__.py
@@ -27,6 +27,7 @@
 log = logging.getLogger("leadership")
 
 LEADER_KEY = LIVE_PREFIX + "lead"
+MEMBER_PREFIX = LIVE_PREFIX + "node/"
 
 
 class Role(Enum):
--- a/kelpjunction/tickets/gateway.py
+++ b/kelpjunction/tickets/gateway.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from datetime import timedelta
+from functools import partial
 
 import gevent
 from gevent.pool import Pool
@@ -22,9 +23,11 @@
 from kelpjunction.http import create_server, method_not_allowed, read_body, respond
 from kelpjunction.intake import UserResponse
 from kelpjunction.jobs.job_index import JobIndex
-from kelpjunction.leadership import Leadership, LeaderTerm
+from kelpjunction.leadership import MEMBER_PREFIX, Leadership, LeaderTerm
 from kelpjunction.recorder import Recorder
-from kelpjunction.settings import OperatorSettings, PlatformSettings
+from kelpjunction.settings import OperatorSettings, PlatformSettings, Sibling
+from kelpjunction.siblings import SiblingRequests, request_state
+from kelpjunction.store.access import CHECK_INTERVAL, StoreAccessMonitor
 from kelpjunction.store.client import StoreClient, StoreUnavailable
 from kelpjunction.store.mirror import LIVE_PREFIX, Mirror, Verifier
 from kelpjunction.tickets import users
@@ -71,10 +74,17 @@
         self.job_index = JobIndex(ChangeTracker())
         self.jobs.listen(LIVE_PREFIX, self.job_index.changed)
         self.request_rate = platform.store.rps * REQUEST_SHARE
+        recorder = Recorder(clock)
         self._catalog: tuple[int, dict[str, MachineType]] = (0, {})
         self.leadership = Leadership(
             replace(platform, node=settings.name), operators, self.store, self.tickets, clock,
-            f"{random_source.getrandbits(64):016x}", self._leader_term_changed, Recorder(clock), PREFIX,
+            f"{random_source.getrandbits(64):016x}", self._leader_term_changed, recorder, PREFIX,
+        )  # fmt: skip
+        # `platform` is a node's settings, so that node is one of those to ask.
+        nodes = (Sibling(platform.node, platform.zone, platform.internal_address), *platform.siblings)
+        self.store_access = StoreAccessMonitor(
+            self.tickets, SiblingRequests(nodes, spawn, partial(request_state, transport)), clock, recorder,
+            is_member=lambda name: self.jobs.get(MEMBER_PREFIX + name) is not None,
         )  # fmt: skip
         self.records = TicketRecords(self.store, self.tickets, self.jobs, clock)
         steps = StepPlanner(settings, self.store, self.jobs, self.records, self.job_index, clock, watches[0])
@@ -99,7 +109,8 @@
 
     @property
     def healthy(self) -> bool:
-        return self.jobs.loaded and self.tickets.loaded and self.tickets.fresh
+        """Whether this gateway should receive requests; like a node, it stays healthy in an outage for all."""
+        return self.jobs.loaded and self.tickets.loaded and self.store_access.should_serve
 
     def follow(self, mirror: Mirror) -> bool:
         """Apply the next changes to a mirror; False if the state service was unavailable."""
@@ -183,7 +194,14 @@
         gc.freeze()
         gc.set_threshold(*GC_THRESHOLDS)
         log.info("%s serves ticket users on %s", self._settings.name, self._settings.listen)
-        loops = [self._follow_jobs, self._follow_tickets, self._lead, self._drive, self._sweep]
+        loops = [
+            self._follow_jobs,
+            self._follow_tickets,
+            self._check_store_access,
+            self._lead,
+            self._drive,
+            self._sweep,
+        ]
         gevent.joinall([gevent.spawn(self._run_loop, loop) for loop in loops])
 
     def _run_loop(self, loop: Callable[[], None]) -> None:
@@ -205,6 +223,10 @@
     def _follow_tickets(self) -> None:
         self._follow(self.gateway.tickets)
 
+    def _check_store_access(self) -> None:
+        sleep(CHECK_INTERVAL)
+        self.gateway.store_access.check()
+
     def _lead(self) -> None:
         self.gateway.leadership.run_once()
         sleep(self.gateway.leadership.heartbeat_interval if self.gateway.tickets.loaded else RECONCILE_INTERVAL)
--- a/tests/test_ticket_gateway.py
+++ b/tests/test_ticket_gateway.py
@@ -30,6 +30,7 @@
 )
 from kelpjunction.lab.usage_observer import UsageObserver
 from kelpjunction.settings import SettingsError
+from kelpjunction.store.access import MAX_SIBLING_SILENCE
 from kelpjunction.tickets.classes import RerunPolicy, load_tickets, runs_again
 from kelpjunction.tickets.gateway import Application
 from kelpjunction.tickets.plan import Plan, Step, SubmissionOptions, build_plan
@@ -473,6 +474,25 @@
     assert [world.ask_gateway(what, "chain-1")[0] for what in ("show", "cancel")] == [503, 503]
 
 
+def test_gateway_stays_healthy_in_an_outage_for_all():
+    """Regression: each gateway left its load balancer in every outage of more than 4 s."""
+    world = start_world(machines=3)
+    world.store.outage(True)
+    world.run(MAX_SIBLING_SILENCE.total_seconds() + 10)
+    assert all(gateway.healthy for gateway in world.gateways.values())
+
+
+@pytest.mark.parametrize("hears_nodes, within_s", [(True, 10.0), (False, MAX_SIBLING_SILENCE.total_seconds() + 10)])
+def test_isolated_gateway_is_unhealthy_until_it_reaches_the_state_service(hears_nodes, within_s):
+    world = start_world(machines=3)
+    world.cut_from_store = {"gate-0"}
+    world.cut_from_peers = set() if hears_nodes else {"gate-0"}
+    assert world.run(within_s, lambda: not world.gateways["gate-0"].healthy)
+    assert world.gateways["gate-1"].healthy
+    world.isolate_together()
+    assert world.run(5, lambda: world.gateways["gate-0"].healthy)
+
+
 # -- usage accounting ---------------------------------------------------------------------------
 
 
