--- a/kelpjunction/jobs/leader_scheduler.py
+++ b/kelpjunction/jobs/leader_scheduler.py
@@ -14,6 +14,7 @@
 from kelpjunction.changes import ChangeTracker
 from kelpjunction.clock import ZERO, Clock, seconds
 from kelpjunction.fleet.cloud import Fleet
+from kelpjunction.jobs.deficit_snapshot import DeficitSnapshot
 from kelpjunction.jobs.dispatch import DispatchBatch
 from kelpjunction.jobs.failure_attribution import FailureAttribution
 from kelpjunction.jobs.failure_avoidance import FailureAvoidance
@@ -53,7 +54,6 @@
 
 log = logging.getLogger("jobs")
 
-SNAPSHOT_PREFIX = "s/deficit/"
 MAX_DISPATCHED_TASKS = 512  # tasks of one job dispatched in one round
 MAX_DISPATCHED_CHUNKS = 48  # chunks dispatched in one round, for arrays and for gangs separately
 REFUSED_ZONE_BACKOFF = timedelta(seconds=2)
@@ -91,7 +91,6 @@
     ) -> None:
         self._platform = platform
         self._operators = operators
-        self._store = store
         self._mirror = mirror
         self._record_writer = record_writer
         self._job_index = job_index
@@ -104,10 +103,9 @@
         self._clock = clock
         self._view_cache = ViewCache(changes, fleet, lambda: fleet.machines, self._view)
         self._reservations = Reservations(job_index, fleet, self._view_cache)
+        self._snapshot = DeficitSnapshot(store, record_writer, job_index, clock, operators.snapshot_interval)
         self._leader_term: LeaderTerm
         self._machine_time_charged_at = ZERO
-        self._snapshot_written_at = ZERO
-        self._snapshot_key_count = 0
         self._last_dispatches: dict[TaskId, tuple[str, timedelta]] = {}
         self._dispatch_interval = max(
             DISPATCH_INTERVAL, seconds(len(Shape) / (DISPATCH_WRITE_SHARE * platform.store.write_rps))
@@ -134,15 +132,8 @@
         self._last_dispatches = {}
         self._reservations.clear()
         self._blocked_by_reservation_since, self._reservation_times = {}, {}
-        self._machine_time_charged_at = self._snapshot_written_at = self._clock.steady()
-        for job in self._job_index.jobs.values():
-            job.received_machine_time = ZERO
-        entries, _ = self._store.scan(SNAPSHOT_PREFIX)
-        self._snapshot_key_count = len(entries)
-        for entry in entries:
-            for ref, received in entry.value.items():
-                if ref in self._job_index.jobs:
-                    self._job_index.jobs[ref].received_machine_time = timedelta(seconds=received)
+        self._machine_time_charged_at = self._clock.steady()
+        self._snapshot.restore()
 
     def round(self) -> bool:
         """End finished jobs and dispatch pending ones; returns whether another round should follow at once."""
@@ -158,7 +149,7 @@
         self._delete_orphan_chunks()
         self._charge_machine_time()
         dispatched = self._dispatch_due() and self._dispatch()
-        self._write_snapshot()
+        self._snapshot.write_if_due(self._leader_txn)
         return bool(end_txns) or dispatched
 
     def _delete_orphan_chunks(self) -> None:
@@ -679,31 +670,6 @@
                 usage.add(spec.team, spec.cpus, spec.gpus, len(rows))
                 batch.add(job, rows)
 
-    # -- the snapshot -------------------------------------------------------
-
-    def _write_snapshot(self) -> None:
-        """Write the machine time that jobs have received, from which the next leader computes deficits."""
-        now = self._clock.steady()
-        if now - self._snapshot_written_at < self._operators.snapshot_interval:
-            return
-        self._snapshot_written_at = now
-        rows = [
-            (j.spec.ref, round(j.received_machine_time.total_seconds(), 1))
-            for j in self._job_index.jobs.values()
-            if j.received_machine_time
-        ]
-        per_key = max(1, self._store.limits.value_bytes // 64)
-        parts = [dict(rows[i : i + per_key]) for i in range(0, len(rows), per_key)]
-        txns = [self._leader_txn().put(f"{SNAPSHOT_PREFIX}{i}", part) for i, part in enumerate(parts)]
-        txns += [
-            self._leader_txn().delete(f"{SNAPSHOT_PREFIX}{i}") for i in range(len(parts), self._snapshot_key_count)
-        ]
-        if self._record_writer.write(txns):
-            # The next snapshot repeats deletions that were deferred.
-            self._snapshot_key_count = max(
-                self._snapshot_key_count if self._record_writer.last_write_incomplete else 0, len(parts)
-            )
-
 
 def _tasks_started_together(job: Job) -> int:
     """How many of a job's tasks must start together: all of a gang, else one."""
