Both directions measured again, with a node that is down beside the outage

benchmarks/load_balancer.py has outages beside a node that is down from before and from the beginning.

--- a/benchmarks/load_balancer.py
+++ b/benchmarks/load_balancer.py
@@ -4,13 +4,14 @@
     python benchmarks/load_balancer.py --live --port 23000   # outages for all, with real processes on loopback
 
 Simulated, with five nodes and 20 users: for each isolation of 150 s, the longest time that a user's polls failed; for
-each outage of 70 s, the time from its end to each user's first answer, and how often the load balancer removed a node
-that ran all the time.  Live, with three nodes: the same for outages of several durations, while the nodes do nothing
-else.  A user polls every 5 s.
+each outage, of 70 s unless its name says another, the time from its end to each user's first answer, and how often the
+load balancer removed a node that ran all the time.  Live, with three nodes: the same for outages of several durations,
+while the nodes do nothing else.  A user polls every 5 s.
 """
 
 import statistics
 from collections.abc import Callable
+from typing import NamedTuple
 
 import click
 import gevent
@@ -25,6 +26,7 @@
 USERS = 20
 NODES = 5
 ISOLATION_S, OUTAGE_S = 150.0, 70.0
+DOWN_BEFORE_S = 20.0
 RECOVERY_S = 90.0
 LIVE_OUTAGES_S = (3.0, 5.0, 7.0, 10.0, 15.0, 20.0)
 LIVE_RECOVERY_S = 20.0
@@ -129,16 +131,35 @@
     return list(world.node_names)
 
 
-def keep_one_down(world: World) -> list[str]:
+def end_one(world: World) -> list[str]:
     world.kill_node(world.node_names[0])
     return list(world.node_names[1:])
 
 
-OUTAGES: dict[str, Callable[[World], list[str]]] = {
-    "nothing else": leave_alone,
-    "all but one node restart, 15 s down": restart_all_but_one,
-    "no node reaches another for 25 s": cut_all_links_for_seconds,
-    "one node is down all the time": keep_one_down,
+def end_one_before(world: World) -> None:
+    world.kill_node(world.node_names[0])
+    world.run(DOWN_BEFORE_S)
+
+
+def all_but_first(world: World) -> list[str]:
+    return list(world.node_names[1:])
+
+
+class Outage(NamedTuple):
+    """An outage for all nodes; `trouble` begins with it and returns the nodes that run all the time."""
+
+    trouble: Callable[[World], list[str]]
+    duration_s: float = OUTAGE_S
+    before: Callable[[World], None] = lambda world: None
+
+
+OUTAGES: dict[str, Outage] = {
+    "nothing else": Outage(leave_alone),
+    "all but one node restart, 15 s down": Outage(restart_all_but_one),
+    "no node reaches another for 25 s": Outage(cut_all_links_for_seconds),
+    "one node is down from 20 s before it, 50 s": Outage(all_but_first, 50.0, end_one_before),
+    "one node is down from 20 s before it": Outage(all_but_first, before=end_one_before),
+    "one node is down from its beginning": Outage(end_one),
 }
 
 
@@ -155,11 +176,12 @@
 
 
 def measure_outages() -> None:
-    for name, trouble in OUTAGES.items():
+    for name, outage in OUTAGES.items():
         world = new_world(NODES)
+        outage.before(world)
         world.store.outage(True)
-        running = trouble(world)
-        world.run(OUTAGE_S)
+        running = outage.trouble(world)
+        world.run(outage.duration_s)
         ended_at = world.clock.now
         world.store.outage(False)
         world.run(RECOVERY_S)
--- a/tests/test_isolated_users.py
+++ b/tests/test_isolated_users.py
@@ -151,6 +151,7 @@
         world.kill_node(name)
     world.run(15)
     assert set(world.nodes[isolated].leadership.members) == {isolated}
+    silence_machines(world, isolated)
     world.isolate_together(isolated)
     world.run(5)
     for name in others:
