--- a/kelpjunction/lab/scale/checker.py
+++ b/kelpjunction/lab/scale/checker.py
@@ -102,6 +102,8 @@
     def _on_event(self, event: TaskEvent) -> None:
         if event.kind is EventKind.STARTED:
             self._on_task_start(event)
+        elif event.kind is EventKind.STARTED_AGAIN:
+            self._add_violations([f"started_again: {event.frond} on {event.machine} after it was forgotten there"])
         elif event.kind is EventKind.EXITED:
             self._on_task_left(event.machine, event.frond)
             if event.cause == "done":
--- a/kelpjunction/lab/scale/hollow.py
+++ b/kelpjunction/lab/scale/hollow.py
@@ -124,6 +124,10 @@
         """Record that a task has exited."""
         self._record_event(EventKind.EXITED, worker, task_id, cause)
 
+    def started_again(self, worker: WorkerStandIn, task_id: str, attempt: int) -> None:
+        """Record that a worker starts a forgotten attempt again."""
+        self._record_event(EventKind.STARTED_AGAIN, worker, task_id)
+
     def cleared(self, worker: WorkerStandIn) -> None:
         """Record that all tasks of a worker ended at once."""
         self._record_event(EventKind.CLEARED, worker)
--- a/kelpjunction/lab/scale/messages.py
+++ b/kelpjunction/lab/scale/messages.py
@@ -17,6 +17,7 @@
     """The kind of an event on a hollow machine."""
 
     STARTED = "started"
+    STARTED_AGAIN = "started_again"  # the attempt had been forgotten in the same session; STARTED follows
     EXITED = "exited"
     CLEARED = "cleared"  # all tasks of a machine ended at once
 
--- a/kelpjunction/lab/site.py
+++ b/kelpjunction/lab/site.py
@@ -68,6 +68,7 @@
         self.finished: set[str] = set()
         self.starts: list[str] = []
         self.broken: list[str] = []
+        self.repeated_starts: list[str] = []  # attempts that a worker started again after it had forgotten them
         self.service_level_tracker = ServiceLevelTracker()
         self.starvation_check = StarvationCheck()
 
@@ -330,6 +331,10 @@
         if cause == "done":
             self.finished.add(task_id)
 
+    def started_again(self, worker: WorkerStandIn, task_id: str, attempt: int) -> None:
+        """Record that a worker starts a forgotten attempt again; no rule names it, but it leads to broken ones."""
+        self.repeated_starts.append(f"{task_id}@{attempt} on {worker.name}")
+
     def cleared(self, worker: WorkerStandIn) -> None:
         """All tasks of a worker are gone.  Nothing to do: `running` reads the tasks from the workers."""
 
--- a/kelpjunction/lab/worker.py
+++ b/kelpjunction/lab/worker.py
@@ -39,6 +39,9 @@
     def exited(self, worker: "WorkerStandIn", task_id: str, cause: str) -> None:
         """Called when a task has exited and is no longer on the machine."""
 
+    def started_again(self, worker: "WorkerStandIn", task_id: str, attempt: int) -> None:
+        """Called when the worker starts an attempt that it was told to forget in the same session."""
+
     def cleared(self, worker: "WorkerStandIn") -> None:
         """Called when all tasks of the worker are gone: its lease or its process ended, or its machine died."""
 
@@ -61,6 +64,7 @@
         self.machine_type = "box"
         self.session, self.sequence, self.token = 1, 0, 0
         self.tasks: dict[tuple[str, int], dict] = {}
+        self.forgotten_attempts: set[tuple[str, int]] = set()  # of this session
         self.alive = True
         self.restart_count = 0  # restarts of its process
         self.partitioned = False  # all packets are lost
@@ -102,6 +106,7 @@
 
     def _clear(self) -> None:
         self.tasks.clear()
+        self.forgotten_attempts.clear()
         self.world.cleared(self)
 
     def _exit(self, task_id: str, task: dict, cause: str, **fields: bool) -> None:
@@ -129,12 +134,15 @@
         for command in commands:
             key = (command["frond"], command["launch"])
             if command["verb"] == "run" and key not in self.tasks:
+                if key in self.forgotten_attempts:
+                    self.world.started_again(self, *key)
                 self.tasks[key] = self.world.start(self, *key)
                 self._report_soon()
             elif command["verb"] == "halt" and key in self.tasks:
                 self._stop_task(key[0], self.tasks[key], command["slack_s"])
             elif command["verb"] == "forget" and self.tasks.get(key, {}).get("tide") == "exited":
                 del self.tasks[key]
+                self.forgotten_attempts.add(key)
 
     def _stop_task(self, task_id: str, task: dict, slack: float) -> None:
         """Stop a task; `slack` is the time in seconds that it may take to save its state.
--- a/kelpjunction/lab/world.py
+++ b/kelpjunction/lab/world.py
@@ -36,6 +36,7 @@
 from kelpjunction.siblings import PEER_PATH
 from kelpjunction.transport import NoResponse, Reply, RequestWithheld
 from kelpjunction.wire.users import ABORT_SUFFIX, JOBS_PATH
+from kelpjunction.wire.workers import COMMANDS_PATH
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
 STORE, CLOUD = "10.2.0.1:2379", "10.2.0.2:8443"
@@ -110,6 +111,8 @@
         self.cut_peer_links: set[frozenset[str]] = set()  # pairs of nodes that do not reach each other
         # The duplicates of a report: for each, the delay in seconds and the node that receives it.
         self.duplicate_reports: Callable[[WorkerStandIn], list[tuple[float, str]]] = lambda worker: []
+        # The duplicates of a request with commands that a worker has carried out: for each, the delay in seconds.
+        self.duplicate_commands: Callable[[WorkerStandIn], list[float]] = lambda worker: []
         # Copies of reports that are delivered to every node when the next leader's term begins; None to keep none.
         self.reports_for_next_leader: list[dict] | None = None
         self._last_leader_term: LeaderTerm | None = None
@@ -364,12 +367,37 @@
                 worker.packets.append(lambda: worker.handle(method, path, body, sent_at))
                 raise NoResponse("the machine hangs and cannot reply")
             reply = worker.handle(method, path, body, sent_at) if worker.alive else Reply(503, {})
+            if path == COMMANDS_PATH and reply.status == 200:
+                self._duplicate_commands(worker, body, sent_at)
             if worker.message_loss is not None:
                 raise NoResponse("reply lost")
             return reply
 
         return carry_out
 
+    def _duplicate_commands(self, worker: WorkerStandIn, body: dict, sent_at: timedelta) -> None:
+        """Let copies of a request that a worker has carried out reach the same process of the worker later."""
+        restart_count = worker.restart_count
+
+        def arrive() -> None:
+            if worker.restart_count == restart_count:
+                self.deliver_command_copy(worker, body, sent_at)
+
+        for delay in self.duplicate_commands(worker):
+            self.run_after(delay, arrive)
+
+    def deliver_command_copy(self, worker: WorkerStandIn, body: dict, sent_at: timedelta) -> None:
+        """Deliver a copy of a request with commands; nobody waits for the response.
+
+        If the machine hangs, the copy waits until it resumes.
+        """
+        if not worker.up or worker.partitioned or worker.message_loss is MessageLoss.INBOUND_LOST:
+            return
+        if worker.hang_period is not None:
+            worker.packets.append(lambda: worker.handle("POST", COMMANDS_PATH, body, sent_at))
+        else:
+            worker.handle("POST", COMMANDS_PATH, body, sent_at)
+
     def peer(self, source: str, address: str) -> Reply:
         """A node's reply to a sibling that asks about its mirror of the state service."""
         number = next(i for i in range(self.node_count) if address == f"10.0.0.{i}:8081")
