Soak and schedules deliver copies of commands; a worker reports a higher token early

All random schedules let some requests with commands reach their worker process again, 0.1 s to four leases later, drawn from a seed of their own. A seed is unclean if an attempt starts again after it was forgotten, or if its schedule raises: such a seed is named and counted instead of ending the run. _cancel_running_jobs no longer hangs a machine that was returned while the user waited (KeyError).

The worker's stand-in counts a higher token as a change, at most once in half of a lease, as PROTOCOL says, so that the cost of raised tokens in reports shows where reports follow changes.

--- a/kelpjunction/lab/worker.py
+++ b/kelpjunction/lab/worker.py
@@ -78,6 +78,7 @@
         self.report_in_flight = False  # a worker sends no report while one is in flight
         self.reported_at = world.clock.now
         self.next_report = world.clock.now
+        self.token_change_reported_at = world.clock.now
         self.notice_at: timedelta | None = None
         self.command_sent_at: timedelta | None = None  # when a node sent the commands that it executes; None if unknown
 
@@ -120,13 +121,22 @@
         if self.world.reports_changes:
             self.next_report = min(self.next_report, self.reported_at + MIN_REPORT_INTERVAL)
 
+    def _see_token(self, token: int) -> None:
+        """Keep a token that is not below the highest one seen; a higher one counts as a change twice in a lease."""
+        now = self.world.clock.now
+        if token > self.token and now - self.token_change_reported_at >= self.world.times.lease / 2:
+            self.token_change_reported_at = now
+            self._report_soon()
+        self.token = token
+
     def handle(self, method: str, path: str, body: dict, sent_at: timedelta | None = None) -> Reply:
         """Handle a request that a node sent at `sent_at`, if that is known."""
         if path == "/status":
             return Reply(200, self.report())
         if body["helm"] < self.token or body["watch"] != self.session:
             return Reply(409, self.report())
-        self.token, self.command_sent_at = body["helm"], sent_at
+        self.command_sent_at = sent_at
+        self._see_token(body["helm"])
         self.execute(body["orders"])
         return Reply(200, self.report())
 
@@ -208,7 +218,8 @@
         self.report_in_flight, self.command_sent_at = False, answered_at
         if status == 200:
             if answer["helm"] >= self.token and fields["watch"] == self.session:
-                self.token, self.lease_renewed_at = answer["helm"], max(self.lease_renewed_at, sent_at)
+                self.lease_renewed_at = max(self.lease_renewed_at, sent_at)
+                self._see_token(answer["helm"])
                 self.execute(answer["orders"])
         elif status == 421 and (named_node := self.world.number_of(answer.get("harbour"))) not in (None, self.node):
             self.node = named_node
--- a/tests/disruptions.py
+++ b/tests/disruptions.py
@@ -4,6 +4,8 @@
 from contextlib import contextmanager, nullcontext
 from random import Random
 
+from fault_schedules import CommandCopies
+
 from kelpjunction.lab.cloud import MachineSize
 from kelpjunction.lab.polling_users import POLL_INTERVAL
 from kelpjunction.lab.worker import MessageLoss, WorkerStandIn
@@ -193,6 +195,57 @@
     return world
 
 
+# -- copies of commands ---------------------------------------------------------------------
+
+
+def deliver_command_copies(seed: int, rounds: int = 20) -> World:
+    """Let most commands reach their workers again, while tasks fail, move and are cancelled and processes restart."""
+    world = World(seed=seed, machines=9, capacity=12, interleaved=seed % 4 == 1)
+    random = world.random
+    world.reports_changes = True
+    world.duplicate_commands = CommandCopies(seed, world.times.lease, share=0.7).delays
+    disruptions = [_fail_some_machines, _cancel_some_jobs, _announce_reclaim, _restart_controller, _hang_some_machine]
+    world.run(5)
+    for number in range(rounds):
+        submit_random_job(world, random, f"j-{number:04d}")
+        world.run(random.uniform(0.5, 6))
+        random.choice(disruptions)(world, random)
+        world.run(random.uniform(1, 12))
+    world.run(max(SICK_FOR_S))
+    for worker, _ in world.cloud.machines.values():
+        worker.fails_all_tasks = False
+    return world
+
+
+def _cancel_some_jobs(world: World, random: Random) -> None:
+    for ref in random.sample(sorted(world.jobs), min(2, len(world.jobs))):
+        world.abort(ref)
+
+
+def _announce_reclaim(world: World, random: Random) -> None:
+    """Announce that the cloud reclaims a machine, so that its tasks move; it stays up after all."""
+    worker, _ = random.choice(list(world.cloud.machines.values()))
+    worker.notice_at = world.clock.now + seconds(20)
+
+    def withdraw() -> None:
+        worker.notice_at = None
+
+    world.run_after(random.choice([5.0, 30.0]), withdraw)
+
+
+def _restart_controller(world: World, random: Random) -> None:
+    """End a controller, which is back within a second or after longer than a lease."""
+    name = random.choice(world.node_names)
+    world.kill_node(name)
+    world.run(random.choice([0.1, 0.5, 0.9, 20.0]))
+    world.start_node(name)
+
+
+def _hang_some_machine(world: World, random: Random) -> None:
+    worker, _ = random.choice(list(world.cloud.machines.values()))
+    worker.hang(random.choice([2.0, 8.0, 14.0, 30.0]))
+
+
 # -- isolated controllers -------------------------------------------------------------------
 
 
--- a/tests/fault_schedules.py
+++ b/tests/fault_schedules.py
@@ -1,8 +1,10 @@
 """Seeded random schedules of faults on the simulated world."""
 
+import random
 from collections.abc import Callable
+from datetime import timedelta
 
-from kelpjunction.lab.worker import MessageLoss
+from kelpjunction.lab.worker import MessageLoss, WorkerStandIn
 from kelpjunction.lab.world import STORE, World, seconds
 
 INVALID_FIELDS = (
@@ -15,6 +17,20 @@
 )
 
 
+class CommandCopies:
+    """Draws, from a seed of its own, which requests with commands reach their worker again, up to four leases later."""
+
+    def __init__(self, seed: int, lease: timedelta, share: float = 0.3) -> None:
+        self._random = random.Random(f"command copies {seed}")
+        self._longest_s = 4 * lease.total_seconds()
+        self._share = share
+
+    def delays(self, worker: WorkerStandIn) -> list[float]:
+        """The delays in seconds of the copies of one request."""
+        copies = self._random.choice([1, 1, 3]) if self._random.random() < self._share else 0
+        return [self._random.choice([0.1, 0.5, self._random.uniform(1, self._longest_s)]) for _ in range(copies)]
+
+
 class FaultSchedule:
     """Random jobs, cancellations and faults; the world checks the rules."""
 
@@ -28,6 +44,7 @@
         self.world.filter = self._request_fault
         self.pending_pause: tuple[str, float] | None = None  # node, and seconds to pause before one of its requests
         self.world.pause_before_request = self._pause_before_request
+        self.world.duplicate_commands = CommandCopies(seed, self.world.times.lease).delays
 
     def _request_fault(self, source: str, target: str, path: str) -> str | None:
         if path == "/commit" and self.random.random() < self.delayed_commit_rate:
@@ -128,7 +145,9 @@
         for ref in self.random.sample(refs, min(3, len(refs))):
             self._abort_job(ref)
             for machine in sorted({m for f, m in running if f.partition("/")[0] == ref})[:2]:
-                self.world.cloud.machines[machine][0].hang(self.random.choice([5.0, 14.0, 45.0]))
+                duration = self.random.choice([5.0, 14.0, 45.0])
+                if machine in self.world.cloud.machines:  # it may have been returned while the user waited
+                    self.world.cloud.machines[machine][0].hang(duration)
 
     def _toggle_cancel_at_end(self) -> None:
         """Toggle cancellation at the end: some jobs are cancelled at the moment when their last task ends."""
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,6 +6,7 @@
 2: machines of different types fail what they start for a while.
 3: the state service answers one controller slowly while users cancel.
 4: controllers are isolated, or the state service fails for all, while users poll through a load balancer.
+5: most commands reach their workers again, while tasks fail, move and are cancelled.
 Others: a random schedule of faults with interleaved exchanges.
 Prints each seed that is not clean.
 """
@@ -36,6 +37,8 @@
     idle: list[str] = field(default_factory=list)  # jobs that wait although there is capacity for them
     forgotten: list[str] = field(default_factory=list)  # jobs with unanswered polls
     contradictions: list[str] = field(default_factory=list)
+    repeated_starts: list[str] = field(default_factory=list)  # attempts started after their workers had forgotten them
+    raised: list[str] = field(default_factory=list)  # what the schedule itself raised
     left_in_outage: list[str] = field(default_factory=list)  # nodes that left the load balancer in an outage for all
 
     @classmethod
@@ -48,6 +51,7 @@
             sorted(world.starvation_check.starved_jobs),
             sorted(world.service_level_tracker.unanswered_jobs),
             [str(event) for event in world.contradictions],
+            world.repeated_starts,
         )
 
     @property
@@ -120,18 +124,27 @@
     return replace(result, left_in_outage=schedule.left_in_outage)
 
 
+def play_command_copies(seed: int) -> SeedResult:
+    """Let commands reach their workers again while tasks fail, move and are cancelled."""
+    return recovered(seed, disruptions.deliver_command_copies(seed))
+
+
 PLAY_BY_LAST_DIGIT = {
     0: play_restarts,
     1: play_process_restarts,
     2: play_failing_machines,
     3: play_slow_answers,
     4: play_isolation,
+    5: play_command_copies,
 }
 
 
 def play_seed(seed: int) -> SeedResult:
-    """Play one seed of the soak."""
-    return PLAY_BY_LAST_DIGIT.get(seed % 10, play_schedule)(seed)
+    """Play one seed of the soak; whatever its schedule raises is a fault of this seed."""
+    try:
+        return PLAY_BY_LAST_DIGIT.get(seed % 10, play_schedule)(seed)
+    except Exception as error:
+        return SeedResult(seed, raised=[repr(error)])
 
 
 def main() -> int:
