Events and metrics name the token of each forget, and an attempt listed after it

The records of the incident could not tell why the worker was allowed to forget: no line named the token of a `forget`, and an attempt that came back after it was only `Impossible`, if a probe happened to see it.

ForgetSaid records attempt, session and token. ForgottenAttemptListed is logged at every level, with the worker's token, that of the forget, and token and way of the start; a report that lists such an attempt is followed by a probe, since a copy of an old report may list it too. kelpjunction_forgotten_attempts_listed_total counts them, to alert on. A refused request with commands (409) is logged with the session and the token that the worker has.

--- a/kelpjunction/metrics.py
+++ b/kelpjunction/metrics.py
@@ -78,6 +78,12 @@
         yield _labelled_counter(
             "kelpjunction_reports_refused", "Reports that got no 200, by ground.", "ground", decisions.refusals
         )
+        yield CounterMetricFamily("kelpjunction_forgets_said", "Attempts that workers may forget.", decisions.forgets)
+        yield CounterMetricFamily(
+            "kelpjunction_forgotten_attempts_listed",
+            "Attempts that a worker proved to have after it was told to forget them; each is a defect.",
+            decisions.forgotten_attempts_listed,
+        )
         yield CounterMetricFamily(
             "kelpjunction_start_permit_renewals",
             "Starts that waited for a comparison with the state service.",
--- a/kelpjunction/workers/events.py
+++ b/kelpjunction/workers/events.py
@@ -34,7 +34,7 @@
     """The holder believes a session of a worker; `before` is the one believed until then, or 0.
 
     `sequence` is that of the message that named the session.  `uncertain_token` is the highest token under which a
-    command may still be in flight to the worker.
+    start may still take effect at the worker.
     """
 
     machine: str
@@ -81,6 +81,21 @@
     sequence: int
 
 
+@dataclass(frozen=True, slots=True)
+class ForgetSaid(Event):
+    """A worker was told, in the response to the report of this `sequence`, to forget an exited attempt.
+
+    The worker refuses every start under a token below `token`, which that response shows.
+    """
+
+    task: TaskId
+    attempt: int
+    machine: str
+    session: int
+    token: int
+    sequence: int
+
+
 @dataclass(frozen=True, slots=True)
 class StopDecided(Event):
     """The holder decided to stop a placement."""
@@ -125,6 +140,27 @@
     finding: str
 
 
+@dataclass(frozen=True, slots=True)
+class ForgottenAttemptListed(Event):
+    """A worker proved that an attempt that it was told to forget is on it again.
+
+    `token` is the highest that the worker has seen, `forget_token` that of the response that told it to forget.
+    `start_token` and `start_way` are those of the attempt's start, None if this node did not send it or no longer
+    knows it.
+    """
+
+    level: ClassVar[int] = logging.ERROR
+    task: TaskId
+    attempt: int
+    machine: str
+    session: int
+    sequence: int
+    token: int
+    forget_token: int
+    start_token: int | None
+    start_way: Way | None
+
+
 def concerns(task: TaskId, machine: str):
     """Return a filter for events of this task, or of no task and either this machine or no machine."""
 
--- a/kelpjunction/workers/registry.py
+++ b/kelpjunction/workers/registry.py
@@ -174,6 +174,9 @@
             lambda attempt: not worker.unanswered_commands[attempt] and not worker.fence.may_start(attempt, token),
             self._may_start,
         )
+        for command in response.commands:
+            if command.verb is Verb.FORGET:
+                self.decisions.forgotten(report, command, token)
         for placement in response.withheld:
             self._start_permits.renew(placement.task.ref)
         for placement in response.starts:
@@ -247,7 +250,8 @@
                 self.decisions.check_contradiction(report, task_report)
         if new_session:
             self._wake()
-        return assessment.needs_probe
+        # A copy of an old report may list a forgotten attempt; the response to a probe shows whether it runs again.
+        return assessment.needs_probe or any(self.decisions.was_forgotten(report, t) for t in assessment.unexpected)
 
     def _settle_of_later_session(self, worker: Worker, placement: Placement, now: timedelta) -> None:
         """Settle a placement whose worker proved a lower session, unless an earlier start can still take effect.
@@ -504,6 +508,8 @@
         except MalformedMessage as error:
             log.error("reply from a worker holds a malformed report: %s", error)
             return False
+        if reply.status == 409:
+            log.info("worker %s refused commands: session %d, token %d", machine, report.session, report.token)
         if self.is_gone(report.machine):
             return False  # the machine was returned while the reply was in flight and must not be added again
         if self._blocks.own_grant(report.zone) is not None:
--- a/tests/test_late_command_copies.py
+++ b/tests/test_late_command_copies.py
@@ -6,8 +6,10 @@
 from kelpjunction.clock import ZERO, seconds
 from kelpjunction.lab.worker import WorkerStandIn
 from kelpjunction.lab.world import World
+from kelpjunction.metrics import Metrics
 from kelpjunction.node import Node
 from kelpjunction.wire.messages import TaskId
+from kelpjunction.workers.events import ForgottenAttemptListed, Way
 
 TASK = "j-1/0"
 EXIT_AFTER_S = 1.9
@@ -130,6 +132,22 @@
     return worker, next(body for to, body in sent if to is worker and body["orders"][0]["verb"] == "run")
 
 
+def test_forgotten_attempt_that_runs_again_is_reported_with_its_tokens():
+    world = ready_world(machines=9, capacity=9)
+    worker, start = forgotten_start(world)
+    node = holder_of(world, worker)
+    world.run(3)
+    worker.handle("POST", "/commands", start | {"helm": worker.token})
+    assert world.run(10, lambda: node.worker_registry.decisions.forgotten_attempts_listed == 1)
+    (found,) = [event for _, event in node.recorder.events(lambda event: isinstance(event, ForgottenAttemptListed))]
+    assert (found.task, found.attempt, found.machine) == (TaskId("j-1", 0), 1, worker.name)
+    assert found.start_token == start["helm"] < found.forget_token <= found.token
+    assert found.start_way is Way.DIRECT
+    text = Metrics(node).text().decode()
+    assert "kelpjunction_forgotten_attempts_listed_total 1.0" in text
+    assert "kelpjunction_forgets_said_total 0.0" not in text
+
+
 def test_restarted_worker_refuses_copy_of_forgotten_start_once_its_holder_reached_it():
     world = ready_world(machines=9, capacity=9)
     worker, start = forgotten_start(world)
