Scale runs: hollow workers carry out a share of the commands a second time

workers.command_copies is the share of the requests with commands that reach the same worker process once more, 0.1 s to a lease later; without it nothing changes.

--- a/kelpjunction/lab/scale/hollow.py
+++ b/kelpjunction/lab/scale/hollow.py
@@ -21,11 +21,11 @@
 from kelpjunction.lab.node_settings import node_number
 from kelpjunction.lab.scale.children import CommandStream, send_to_run
 from kelpjunction.lab.scale.messages import Batch, EventKind, ProcessCommand, TaskEvent
-from kelpjunction.lab.serving import REPORT_RESPONSE_TIMEOUT, machine_handle, serve
+from kelpjunction.lab.serving import REPORT_RESPONSE_TIMEOUT, Handle, machine_handle, serve
 from kelpjunction.lab.worker import WorkerStandIn
 from kelpjunction.settings import WorkerTimes
-from kelpjunction.transport import HttpTransport, NoResponse
-from kelpjunction.wire.workers import CHECK_IN_PATH
+from kelpjunction.transport import HttpTransport, NoResponse, Reply
+from kelpjunction.wire.workers import CHECK_IN_PATH, COMMANDS_PATH
 
 BATCH_INTERVAL = timedelta(milliseconds=50)
 FETCH_TIME = timedelta(milliseconds=200)  # simulated image fetch, before a hollow task is ready
@@ -89,12 +89,13 @@
 
     reports_changes = True
 
-    def __init__(self, nodes: list[str], times: WorkerTimes, seed: int) -> None:
+    def __init__(self, nodes: list[str], times: WorkerTimes, seed: int, command_copies: float) -> None:
         self.clock = LiveClock()
         self.times = times
         self.nodes = nodes
         self.node_count = len(nodes)
         self._random = random.Random(seed)
+        self._command_copies = command_copies
         self._workers: dict[str, WorkerStandIn] = {}
         self._transports: dict[str, CountingTransport] = {}
         self._servers: dict[str, WSGIServer] = {}
@@ -188,7 +189,24 @@
         self._transports[name] = CountingTransport(CONNECTIONS_PER_WORKER)
 
         host, _, port = address.rpartition(":")
-        self._servers[name] = serve(machine_handle(worker), int(port), host, CountingServer)
+        self._servers[name] = serve(self._handle_with_copies(worker), int(port), host, CountingServer)
+
+    def _handle_with_copies(self, worker: WorkerStandIn) -> Handle:
+        """A machine's handler; some requests with commands reach the same process again, up to a lease later."""
+        handle = machine_handle(worker)
+
+        def copy_later(body: dict, restart_count: int) -> None:
+            gevent.sleep(self.vary((0.1, self.times.lease.total_seconds())))
+            if worker.alive and worker.restart_count == restart_count:
+                worker.handle("POST", COMMANDS_PATH, body)
+
+        def handle_once_more(method: str, path: str, body: dict) -> Reply:
+            reply = handle(method, path, body)
+            if path == COMMANDS_PATH and reply.status == 200 and self._random.random() < self._command_copies:
+                gevent.spawn(copy_later, body, worker.restart_count)
+            return reply
+
+        return handle_once_more
 
     def _remove(self, name: str) -> None:
         worker = self._workers.pop(name, None)
@@ -228,7 +246,7 @@
     """Read the controllers' addresses from the first line, then run the workers until the commands end."""
     commands = CommandStream()
     times = WorkerTimes(**{name: seconds(value) for name, value in commands.first["times"].items()})
-    workers = HollowWorkers(commands.first["nodes"], times, commands.first["seed"])
+    workers = HollowWorkers(commands.first["nodes"], times, commands.first["seed"], commands.first["command_copies"])
     commands.run(
         lambda fields: workers.handle_command(ProcessCommand(fields.pop("do")), fields),
         workers.step_forever,
--- a/kelpjunction/lab/scale/plan.py
+++ b/kelpjunction/lab/scale/plan.py
@@ -50,6 +50,7 @@
                     "report_s": _POSITIVE | {"default": 3},
                     "lease_s": _POSITIVE | {"default": 29},
                     "cancel_s": _POSITIVE | {"default": 49},
+                    "command_copies": _NON_NEGATIVE | {"maximum": 1, "default": 0},
                 },
                 ("count",),
             ),
@@ -116,6 +117,7 @@
     memory_gb: float
     rack: int
     times: WorkerTimes
+    command_copies: float  # share of the requests with commands of which a copy arrives later
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,6 +229,7 @@
             workers["memory_gb"],
             workers["rack"],
             WorkerTimes(report, lease, gang_wait=seconds(35), gang_peer=seconds(6), cancel=cancel),
+            workers["command_copies"],
         ),
         store=StoreLimits(state["rps"], state["write_rps"], int(state["value_kb"] * 1024), state["txn_ops"]),
         cloud=CloudLimits(rps=4.0, list_lag=seconds(5)),
--- a/kelpjunction/lab/scale/run.py
+++ b/kelpjunction/lab/scale/run.py
@@ -108,6 +108,7 @@
             "nodes": [place.listen for place in self.controllers.places],
             "times": {name: getattr(times, name).total_seconds() for name in times.__slots__},
             "seed": self.plan.seed + number,
+            "command_copies": self.plan.workers.command_copies,
         }
         name = f"hollow-{number}"
         self.checker.add_process(name, time.monotonic())
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -3,16 +3,22 @@
 import socket
 from pathlib import Path
 
+import gevent
 import orjson
 import pytest
 from click.testing import CliRunner
 
 from kelpjunction.cli import main
+from kelpjunction.clock import seconds
 from kelpjunction.lab.scale.checker import Checker
+from kelpjunction.lab.scale.hollow import HollowWorkers
 from kelpjunction.lab.scale.messages import EventKind, TaskEvent
 from kelpjunction.lab.scale.plan import ScaleError, load_plan
 from kelpjunction.lab.serving import machine_handle
+from kelpjunction.lab.worker import WorkerStandIn
 from kelpjunction.lab.world import World
+from kelpjunction.settings import WorkerTimes
+from kelpjunction.transport import Reply
 
 ROOT = Path(__file__).resolve().parent.parent
 TINY = ROOT / "tests" / "scale.toml"
@@ -97,6 +103,24 @@
     assert handle("POST", "/commands", body).status == 503 and not worker.tasks
 
 
+def test_hollow_worker_carries_out_a_copy_of_a_request():
+    workers = HollowWorkers(["127.0.0.1:1"], WorkerTimes(*[seconds(0.2)] * 5), seed=1, command_copies=1.0)
+    worker = WorkerStandIn(workers, "n-1", "a", False)
+    handled = []
+    worker.handle = lambda method, path, body: handled.append((path, body)) or Reply(200, {})
+    workers._handle_with_copies(worker)("POST", "/commands", {"helm": 3})
+    gevent.sleep(0.5)
+    assert handled == [("/commands", {"helm": 3})] * 2
+
+
+def test_checker_counts_start_of_forgotten_attempt():
+    checker = checker_with_job()
+    event = TaskEvent(1.0, EventKind.STARTED_AGAIN, "n-1", "j-1/0")
+    checker.add_events("one", 2.0, [event])
+    checker.add_events("two", 2.0, [])
+    assert checker.broken == ["started_again: j-1/0 on n-1 after it was forgotten there"]
+
+
 # -- checker -----------------------------------------------------------------------
 
 JOB = {"ref": "j-1", "crew": "red", "shape": "batch", "fronds": 2, "cpus": 2.0, "bay": None}
