What a holder knows of one worker has a module of its own, with the end of its lease

workers/registry.py took reports, sent commands, settled and held the state of a worker. `Worker` and the calculation of its lease's end, a function of the worker and the grant, are in workers/worker.py now. Nothing is decided differently.

--- a/kelpjunction/workers/registry.py
+++ b/kelpjunction/workers/registry.py
@@ -1,23 +1,20 @@
 """Registry of the workers in the blocks that this node holds: reports, commands, probes and leases."""
 
 import logging
-from collections import Counter
-from collections.abc import Callable, Collection, Iterator
-from dataclasses import dataclass, field
+from collections.abc import Callable, Collection
 from datetime import timedelta
 
 from kelpjunction.blocks import Blocks
 from kelpjunction.changes import ChangeTracker
-from kelpjunction.clock import ZERO, Clock, seconds
+from kelpjunction.clock import Clock
 from kelpjunction.jobs.job_index import Job, JobIndex, Phase, Placement
 from kelpjunction.jobs.start_permits import StartPermits
 from kelpjunction.leadership import Leadership
 from kelpjunction.recorder import Recorder
-from kelpjunction.renewal import CLOCK_DRIFT_FACTOR
 from kelpjunction.settings import WorkerTimes
 from kelpjunction.transport import NoResponse, RequestWithheld, Transport
 from kelpjunction.wire import workers as wire
-from kelpjunction.wire.messages import Command, ExitCause, Report, TaskId, TaskReport, TaskState, Verb
+from kelpjunction.wire.messages import Command, ExitCause, Report, TaskReport, TaskState, Verb
 from kelpjunction.wire.users import MalformedMessage
 from kelpjunction.workers.answers import (
     BlockAuthority,
@@ -38,6 +35,7 @@
     ReachabilityTracker,
     Watermark,
 )
+from kelpjunction.workers.worker import Worker, lease_end
 
 log = logging.getLogger("workers")
 
@@ -51,36 +49,6 @@
 }
 
 
-@dataclass(slots=True)
-class Worker:
-    """One worker, as the holder of its block knows it from its reports."""
-
-    machine: str
-    address: str
-    zone: str
-    reachability_tracker: ReachabilityTracker
-    fence: StartFence
-    session: int = 0
-    token: int = 0  # the highest that a message of any of its processes showed
-    proved_token: int = 0  # the one in its newest response: its present process has seen it
-    last_report_at: timedelta = ZERO
-    lease_renewed_at: timedelta | None = None  # latest time at which its lease may have been renewed
-    reclaim_at: timedelta | None = None  # announced time at which the cloud reclaims the machine
-    unanswered_commands: Counter[Attempt] = field(default_factory=Counter)  # sent directly and not answered yet
-    tasks: dict[TaskId, list[TaskReport]] = field(default_factory=dict)
-    images: dict[str, float] = field(default_factory=dict)  # size in GB, 0 if unknown; the most recently used last
-
-    @property
-    def watermark(self) -> Watermark:
-        """What the worker has shown until now."""
-        return Watermark(self.reachability_tracker.newest, self.token)
-
-    def reported_tasks(self) -> Iterator[TaskReport]:
-        """The attempts that its newest message lists."""
-        for attempts in self.tasks.values():
-            yield from attempts
-
-
 class WorkerRegistry:
     """Takes in reports, sends commands and probes, and settles placements.
 
@@ -551,21 +519,12 @@
     def lease_end(self, machine: str, zone: str) -> timedelta | None:
         """The time by which the worker's lease has ended if no node renews it from now on.
 
-        Until a response of the worker has shown our token, the previous holder may
-        have renewed its lease for as long as it may without news of the state service.
         None if this node does not hold the block.
         """
         grant = self._blocks.own_grant(zone)
         if grant is None:
             return None
-        worker = self.workers.get(machine)
-        renewed = worker.lease_renewed_at if worker else None
-        if worker is None or worker.proved_token < grant.token:
-            previous_holder_until = grant.since + self._leadership.renewal.grace_period
-            renewed = previous_holder_until if renewed is None else max(renewed, previous_holder_until)
-        if renewed is None:
-            renewed = worker.last_report_at
-        return renewed + self._times.lease * CLOCK_DRIFT_FACTOR + seconds(1)
+        return lease_end(self.workers.get(machine), grant, self._leadership.renewal.grace_period, self._times.lease)
 
     def settle_expired(self) -> None:
         """Settle the placements on machines whose leases are known to have ended."""
