Tests: few tokens in a grant, a grant without a range, and the version in production

A range of one to three tokens is used up at once: the holder takes a new grant, nothing runs again, and every exit is forgotten in the end. A grant of a version without ranges leads to one of the holder's own before a worker forgets. The version in production grants tokens above a reserved range.

--- a/tests/test_late_command_copies.py
+++ b/tests/test_late_command_copies.py
@@ -3,6 +3,7 @@
 import pytest
 from traces import ready_world, worker_of
 
+from kelpjunction import blocks
 from kelpjunction.clock import ZERO, seconds
 from kelpjunction.lab.worker import WorkerStandIn
 from kelpjunction.lab.world import World
@@ -43,6 +44,10 @@
     world.at(world.clock.now + seconds(EXIT_AFTER_S), lambda: worker._exit(TASK, worker.tasks[key], "error"))
 
 
+def workers(world: World) -> list[WorkerStandIn]:
+    return [worker for worker, _ in world.cloud.machines.values()]
+
+
 def holder_of(world: World, worker: WorkerStandIn) -> Node:
     return next(node for node in world.nodes.values() if node.blocks.own_grant(worker.zone))
 
@@ -112,6 +117,37 @@
     assert_nothing_ran_again(world)
 
 
+@pytest.mark.parametrize("tokens", [1, 2, 3])
+def test_copies_of_answered_starts_run_nothing_when_a_grant_has_few_tokens(tokens, monkeypatch):
+    monkeypatch.setattr(blocks, "TOKENS_PER_GRANT", tokens)
+    world = world_with_copies()
+    fail_attempt(world, submit(world, "array"))
+    for attempts in (2, 3, 4):
+        assert world.run(30, lambda wanted=attempts: world.starts.count(TASK) == wanted), (
+            "the task was not started again"
+        )
+        fail_attempt(world, worker_of(world, TASK))
+    world.run(80)
+    assert not any(task["tide"] == "exited" for worker in workers(world) for task in worker.tasks.values())
+    assert_nothing_ran_again(world)
+
+
+def test_holder_with_grant_of_a_version_without_ranges_takes_its_own_before_a_worker_forgets():
+    world = world_with_copies()
+    records = {key: world.store.data[key][0] for key in world.store.data if key.startswith("l/block/")}
+    puts = {key: {name: grant[name] for name in grant if name != "last_token"} for key, grant in records.items()}
+    assert world.leader().store.commit({}, puts).revision
+    world.run(1)
+    worker = submit(world, "array")
+    assert holder_of(world, worker).blocks.own_grant(worker.zone).last_token == worker.token
+    fail_attempt(world, worker)
+    world.run(80)
+    grant = holder_of(world, worker).blocks.own_grant(worker.zone)
+    assert grant.token > max(record["last_token"] for record in records.values())
+    assert grant.last_token > grant.token
+    assert_nothing_ran_again(world)
+
+
 def sent_starts(world: World) -> list[tuple[WorkerStandIn, dict]]:
     """Collects, from now on, each request with commands that a worker carries out."""
     sent = []
--- a/tests/test_production_compatibility.py
+++ b/tests/test_production_compatibility.py
@@ -74,6 +74,17 @@
 world.abort("j-5")
 print(json.dumps({k: v[:2] for k, v in world.store.data.items() if k.startswith("l/")}))
 """
+GRANT_SCRIPT = """
+import json, sys
+sys.path.insert(0, "tests")
+from traces import ready_world
+world = ready_world(machines=6, capacity=6)
+assert world.leader().store.commit({}, json.load(sys.stdin)).revision
+world.submit("j-1", 6, run_s=2.0)
+world.run(40)
+grants = {key: value[0] for key, value in world.store.data.items() if key.startswith(("l/block/", "l/token"))}
+print(json.dumps([grants, world.poll("j-1"), world.broken]))
+"""
 # At this time after its submission, j-1 of PLAY_SCRIPT has dispatched tasks that have not started, in both versions.
 # At 1, 6 and 11 s no job has any, so the comparison would not detect that they are read differently.
 UNSTARTED_DISPATCHES_AT_S = 0.2
@@ -160,3 +171,11 @@
     page = {f"{DISPATCH_PREFIX}{'gang' if shape == 'ensemble' else 'array'}/0": {"j-1": {"0": row}}}
     starts, machines, broken = run_in_version(production, START_SCRIPT, [fields, page])
     assert (starts, len(machines), broken) == (["j-1/0"], 1, [])
+
+
+def test_production_grants_tokens_above_a_reserved_range(production):
+    reserved = {"holder": "holdfast-9", "incarnation": "ended", "term": 1, "token": 1001, "last_token": 2000}
+    grants, state, broken = run_in_version(production, GRANT_SCRIPT, {"l/token": 2000, "l/block/a": reserved})
+    assert grants["l/block/a"]["token"] > 2000
+    assert grants["l/token"] == max(grant["token"] for key, grant in grants.items() if key != "l/token")
+    assert (state, broken) == ("done", [])
