A restarted worker is shown the higher token once, however many tasks it lost

Each missing placement of a worker sent a request of its own to show it the token that excludes earlier starts; all of them carried the same token. While one is unanswered, no other is sent now.

--- a/kelpjunction/workers/registry.py
+++ b/kelpjunction/workers/registry.py
@@ -83,13 +83,14 @@
         self._changes = changes
         self.workers: dict[str, Worker] = {}
         self.starts = self.stops = 0  # commands sent directly to workers since this process started
-        self.zones_needing_new_token: set[str] = set()
+        self.zones_needing_new_tokens: set[str] = set()
         # Blocks of which a worker has seen a higher token than ours, with our
         # token at that time.  Another node holds them, although the mirror does
         # not show it yet.  Reports from all their workers are refused, so that
         # the workers find the new holder before their leases end.
         self._higher_token_seen: dict[str, int] = {}
         self._probes_in_flight: set[str] = set()  # machines with an unanswered probe
+        self._tokens_in_flight: set[str] = set()  # machines that are being shown a token
         self.on_report: Callable[[Report], None] = lambda report: None
         self.images_of: Callable[[str], list[str]] = lambda machine: []
         self.is_gone: Callable[[str], bool] = lambda machine: False  # whether the cloud confirmed the return
@@ -99,7 +100,7 @@
         """Forget the workers of a block that this node has gained or lost: earlier knowledge of them is not valid."""
         for machine in [n for n, w in self.workers.items() if w.zone == zone]:
             self._drop(machine)
-        self.zones_needing_new_token.discard(zone)
+        self.zones_needing_new_tokens.discard(zone)
         self.decisions.clear(zone)
 
     # -- reports ------------------------------------------------------------
@@ -259,7 +260,7 @@
         if not attempts or grant is None or worker.unanswered_commands:
             return False
         if not worker.fence.exclude(attempts, grant.tokens):
-            self.zones_needing_new_token.add(worker.zone)
+            self.zones_needing_new_tokens.add(worker.zone)
             return False
         return True
 
@@ -420,18 +421,23 @@
         )
 
     def show_token(self, machine: str) -> None:
-        """Show a worker this node's token, unless it has seen it.
+        """Show a worker this node's token, unless it has seen it or is being shown one.
 
         Its response proves which earlier starts it refuses, and the block's
         previous holder learns of the token from the worker's reports.
         """
         worker = self.workers.get(machine)
         grant = self._blocks.own_grant(worker.zone) if worker else None
-        if grant is None:
+        if grant is None or machine in self._tokens_in_flight:
             return
         token = worker.fence.token(grant.tokens, worker.token)
-        if worker.token < token:
+        if worker.token >= token:
+            return
+        self._tokens_in_flight.add(machine)
+        try:
             self._post(worker, token, worker.session, [])
+        finally:
+            self._tokens_in_flight.discard(machine)
 
     def probe(self, machine: str, address: str) -> bool | None:
         """Request the status of a machine's worker without waiting for its next report.
--- a/tests/test_late_command_copies.py
+++ b/tests/test_late_command_copies.py
@@ -203,6 +203,26 @@
     assert worker.handle("POST", "/commands", start).status == 200
 
 
+def test_restarted_worker_is_shown_the_higher_token_once_however_many_tasks_it_lost():
+    world = ready_world(machines=1, capacity=1, interleaved=True)
+    (worker,) = workers(world)
+    world.submit("j-1", 6, run_s=60.0, cpus=1.0)
+    assert world.run(20, lambda: len(world.running("j-1")) == 6)
+    world.run(10)
+    shown = []
+    handle = worker.handle
+
+    def record(method: str, path: str, body: dict, sent_at=None):
+        shown.extend([body["helm"]] if path == "/commands" and not body["orders"] else [])
+        return handle(method, path, body, sent_at)
+
+    worker.handle = record
+    worker.restart()
+    world.run(20)
+    assert len(shown) == len(set(shown)) > 0
+    assert_nothing_ran_again(world)
+
+
 def test_worker_restarted_within_a_second_starts_only_what_is_placed_on_it():
     world = ready_world(machines=9, capacity=9)
     sent = sent_starts(world)
