--- a/kelpjunction/jobs/holder_scheduler.py
+++ b/kelpjunction/jobs/holder_scheduler.py
@@ -114,7 +114,7 @@
         """Run one round for the blocks of this node; returns whether another round should follow at once."""
         if not self._blocks.held_zones():
             return False
-        self._raise_uncertain_tokens()
+        self._take_new_tokens()
         now = self._clock.steady()
         if now - self._leases_checked_at >= LEASE_EXPIRY_CHECK_INTERVAL:
             self._leases_checked_at = now
@@ -126,11 +126,11 @@
         started = self._start_dispatched()
         return bool(result_txns) or started
 
-    def _raise_uncertain_tokens(self) -> None:
-        """Issue new tokens for blocks in which an earlier command may still be in flight."""
-        zones = sorted(self._worker_registry.zones_needing_new_token)
+    def _take_new_tokens(self) -> None:
+        """Take new grants for held blocks whose tokens are too low to exclude earlier starts."""
+        zones = sorted(self._worker_registry.zones_needing_new_tokens)
         if zones and self._blocks.issue_new_tokens(zones):
-            self._worker_registry.zones_needing_new_token.difference_update(zones)
+            self._worker_registry.zones_needing_new_tokens.difference_update(zones)
 
     def _guarded(self, job: Job, zones: set[str], purpose: Purpose | None = None) -> Transaction:
         """A transaction that fails if the job was cancelled, or if this node has lost one of the blocks."""
