A worker whose process restarted is shown at once a token above every earlier start

What callers would see: a task on two machines. An attempt exits, its result is stored and the task is started elsewhere; the worker's process restarts before it is told to forget the attempt, and lists nothing any more.

Cause: the token was raised only when a placement was missing on the restarted worker or an exit had to be forgotten.

Change: a restart excludes every start sent before, and the worker is shown the token as soon as its new session is known; one request for each restart. Before any controller has reached the new process nothing can exclude a start: PROTOCOL lets a process that has seen no token execute it.

--- a/kelpjunction/workers/fencing.py
+++ b/kelpjunction/workers/fencing.py
@@ -56,21 +56,27 @@
 
         Returns False, without any change, if the grant has no such token left.
         """
-        needed = 1 + max(map(self._last_start_token, attempts), default=0)
-        if needed > granted.last:
-            return False
-        self._token = max(self._token, needed)
-        return True
+        return self._raise_above(max(map(self._last_start_token, attempts), default=0), granted)
 
     def token_proved(self, token: int) -> None:
         """Forget the starts under tokens below this one, which the worker has shown in a response."""
         if any(sent < token for sent in self._start_tokens.values()):
             self._start_tokens = {attempt: sent for attempt, sent in self._start_tokens.items() if sent >= token}
 
-    def process_restarted(self) -> None:
-        """Count every start sent until now as possible again: the worker's new process has seen no token."""
+    def process_restarted(self, granted: TokenRange) -> bool:
+        """Count every start sent until now as possible again, since the new process has seen no token, and exclude it.
+
+        Returns False, without excluding them, if the grant has no higher token left.
+        """
         self._unknown_upto = self.highest_start_token
         self._start_tokens.clear()
+        return self._raise_above(self._unknown_upto, granted)
+
+    def _raise_above(self, token: int, granted: TokenRange) -> bool:
+        if token >= granted.last:
+            return False
+        self._token = max(self._token, token + 1)
+        return True
 
     @property
     def highest_start_token(self) -> int:
--- a/kelpjunction/workers/registry.py
+++ b/kelpjunction/workers/registry.py
@@ -271,7 +271,9 @@
         """
         log.info("worker %s restarted its session and sequence numbers", worker.machine)
         worker.token, worker.lease_renewed_at = report.token, now
-        worker.fence.process_restarted()
+        grant = self._blocks.own_grant(worker.zone)
+        if grant is not None and not worker.fence.process_restarted(grant.tokens):
+            self.zones_needing_new_tokens.add(worker.zone)
 
     def _on_listed(self, worker: Worker, placement: Placement, task_report: TaskReport, now: timedelta) -> None:
         """Advance or settle a placement by the state in which a message lists it."""
@@ -501,6 +503,8 @@
             self._on_process_restart(worker, report, now)
         self._on_reachability_change(worker, before)
         self._apply_report(worker, report, evidence, now)
+        if restarted:
+            self._spawn(self.show_token, worker.machine)  # the new process executes every earlier start until then
 
     def _on_reachability_change(self, worker: Worker, before: Reachability) -> None:
         """If the worker's reachability differs from `before`, log it and have the machine evaluated again."""
--- a/tests/test_late_command_copies.py
+++ b/tests/test_late_command_copies.py
@@ -16,6 +16,7 @@
 EXIT_AFTER_S = 1.9
 COPY_DELAYS_S = (0.1, 0.5, 1.0, 2.6, 5.0, 10.0, 20.0, 40.0, 70.0)
 SHAPES = {
+    "one task": (1, {}),
     "array": (9, {}),
     "replicas": (2, {"shape": "service", "urgency": "prod"}),
     "gang": (3, {"shape": "ensemble", "mark_s": 5.0, "stow_s": 1.0}),
@@ -194,6 +195,21 @@
     assert_nothing_ran_again(world)
 
 
+def test_copy_of_start_does_not_run_settled_attempt_whose_worker_restarted_before_it_forgot():
+    world = ready_world(machines=9, capacity=9)
+    sent = sent_starts(world)
+    worker = submit(world, "one task")
+    ((_, start),) = sent
+    fail_attempt(world, worker)
+    assert world.run(20, lambda: world.starts.count(TASK) == 2), "the task was not started again"
+    assert not worker.forgotten_attempts
+    worker.restart()
+    world.run(8)
+    assert worker.handle("POST", "/commands", start).status == 409
+    world.run(20)
+    assert_nothing_ran_again(world)
+
+
 def test_restarted_worker_that_no_controller_reached_has_no_fence_against_a_copy():
     """PROTOCOL, "Delayed messages": token and session decide; a new process has seen no token, and is in session 1."""
     world = ready_world(machines=9, capacity=9)
