--- a/kelpjunction/workers/decisions.py
+++ b/kelpjunction/workers/decisions.py
@@ -5,7 +5,7 @@
 
 from kelpjunction.jobs.job_index import JobIndex, Placement
 from kelpjunction.recorder import Event, Recorder
-from kelpjunction.wire.messages import Command, ExitCause, Report, TaskId, TaskReport
+from kelpjunction.wire.messages import ExitCause, Report, TaskId, TaskReport
 from kelpjunction.workers.answers import Refusal
 from kelpjunction.workers.events import (
     ForgetSaid,
@@ -48,6 +48,7 @@
         # Attempts that this node settled recently, with their zones: none of them can be on its machine again.  Results
         # are left out: after a restart of its worker an attempt may run once more although it is done.
         self._settled_attempts: OrderedDict[tuple[TaskId, int, str], str] = OrderedDict()
+        # For the same reason without results.
         self._forgotten_attempts: OrderedDict[tuple[TaskId, int, str], _Forgotten] = OrderedDict()
         self.forgets = 0
         self.forgotten_attempts_listed = 0
@@ -77,11 +78,13 @@
         attempt = placement.task, placement.attempt, placement.machine, placement.session
         self._recorder.record(StartSaid(*attempt, token, self._job_index.record_version(placement.task), way, sequence))
 
-    def forgotten(self, report: Report, command: Command, token: int) -> None:
-        """Record that the response to a report, under this token, tells the worker to forget an attempt."""
+    def forgotten(self, report: Report, task_exit: TaskReport, token: int) -> None:
+        """Record that the response to a report, under this token, tells the worker to forget an exited attempt."""
         self.forgets += 1
-        said = ForgetSaid(command.task, command.attempt, report.machine, report.session, token, report.sequence)
-        self._forgotten_attempts[command.task, command.attempt, report.machine] = _Forgotten(report.zone, said)
+        attempt = task_exit.task, task_exit.attempt, report.machine
+        said = ForgetSaid(*attempt, report.session, token, report.sequence)
+        if task_exit.cause is not ExitCause.DONE:
+            self._forgotten_attempts[attempt] = _Forgotten(report.zone, said)
         if len(self._forgotten_attempts) > MAX_FORGOTTEN_ATTEMPTS:
             self._forgotten_attempts.popitem(last=False)
         self._recorder.record(said)
