Only an attempt that this node settled counts as forgotten when a worker lists it

Soak reported ForgottenAttemptListed for an attempt that its worker had never forgotten. The trace: a copy of a report of the worker's earlier process, with just the next number, lists the exit of a gang's task; the gang's end had taken the placement out of the records, so a forget was said in answer to the copy, and the present process still had the task and went on to stop it. An exit that this node settled itself was shown by a response, except a result, which the list of settled attempts leaves out as before.

--- a/kelpjunction/workers/decisions.py
+++ b/kelpjunction/workers/decisions.py
@@ -5,7 +5,7 @@
 
 from kelpjunction.jobs.job_index import JobIndex, Placement
 from kelpjunction.recorder import Event, Recorder
-from kelpjunction.wire.messages import ExitCause, Report, TaskId, TaskReport
+from kelpjunction.wire.messages import Command, ExitCause, Report, TaskId, TaskReport
 from kelpjunction.workers.answers import Refusal
 from kelpjunction.workers.events import (
     ForgetSaid,
@@ -48,7 +48,6 @@
         # Attempts that this node settled recently, with their zones: none of them can be on its machine again.  Results
         # are left out: after a restart of its worker an attempt may run once more although it is done.
         self._settled_attempts: OrderedDict[tuple[TaskId, int, str], str] = OrderedDict()
-        # For the same reason without results.
         self._forgotten_attempts: OrderedDict[tuple[TaskId, int, str], _Forgotten] = OrderedDict()
         self.forgets = 0
         self.forgotten_attempts_listed = 0
@@ -78,12 +77,16 @@
         attempt = placement.task, placement.attempt, placement.machine, placement.session
         self._recorder.record(StartSaid(*attempt, token, self._job_index.record_version(placement.task), way, sequence))
 
-    def forgotten(self, report: Report, task_exit: TaskReport, token: int) -> None:
-        """Record that the response to a report, under this token, tells the worker to forget an exited attempt."""
+    def forgotten(self, report: Report, command: Command, token: int) -> None:
+        """Record that the response to a report, under this token, tells the worker to forget an exited attempt.
+
+        If this node did not settle the attempt itself, a copy of an earlier process's report may list the exit, and the
+        present process may still have the task.
+        """
         self.forgets += 1
-        attempt = task_exit.task, task_exit.attempt, report.machine
+        attempt = command.task, command.attempt, report.machine
         said = ForgetSaid(*attempt, report.session, token, report.sequence)
-        if task_exit.cause is not ExitCause.DONE:
+        if attempt in self._settled_attempts:
             self._forgotten_attempts[attempt] = _Forgotten(report.zone, said)
         if len(self._forgotten_attempts) > MAX_FORGOTTEN_ATTEMPTS:
             self._forgotten_attempts.popitem(last=False)
--- a/kelpjunction/workers/registry.py
+++ b/kelpjunction/workers/registry.py
@@ -145,7 +145,7 @@
         )
         for command in response.commands:
             if command.verb is Verb.FORGET:
-                self.decisions.forgotten(report, worker.exit_of(command.task, command.attempt), token)
+                self.decisions.forgotten(report, command, token)
         for placement in response.withheld:
             self._start_permits.renew(placement.task.ref)
         for placement in response.starts:
--- a/kelpjunction/workers/worker.py
+++ b/kelpjunction/workers/worker.py
@@ -44,10 +44,6 @@
         for attempts in self.tasks.values():
             yield from attempts
 
-    def exit_of(self, task: TaskId, attempt: int) -> TaskReport:
-        """The exit of an attempt that its newest message lists."""
-        return next(task_report for task_report in self.tasks[task] if task_report.attempt == attempt)
-
 
 def lease_end(worker: Worker | None, grant: Grant, grace_period: timedelta, lease: timedelta) -> timedelta:
     """The time by which a worker's lease has ended if no node renews it from now on; None is a worker never heard from.
