Tests: an attempt with an unanswered command is not forgotten; a reason back in place

The pure test of build_response no longer tells unanswered commands apart, since the registry asks for them now. The new test does: it fails if the registry asks the fence alone, which does not know a start that is decided and not yet sent. That reason stands at the place again.

No behaviour is changed.

--- a/kelpjunction/workers/registry.py
+++ b/kelpjunction/workers/registry.py
@@ -136,6 +136,7 @@
         placements = self._job_index.placements_on(worker.machine)
         self._exclude_starts(worker, finished_attempts(report.session, worker.reported_tasks(), placements))
         token = worker.fence.token(grant.tokens, worker.token)
+        # A start that is decided and not yet sent is known to `unanswered_commands` alone, so both are asked.
         response = build_response(
             report.session,
             worker.reported_tasks(),
--- a/tests/test_earlier_worker_process.py
+++ b/tests/test_earlier_worker_process.py
@@ -138,6 +138,7 @@
     placement = holder.job_index.placement(TaskId("j-1", 0))
     token = holder.blocks.own_token(worker.zone)
     assert known.token == token
+    # The worker is not shown the higher token until the test does it.
     show_token, holder.worker_registry.show_token = holder.worker_registry.show_token, lambda machine: None
     number = known.reachability_tracker.newest[1]
     worker.step = lambda: None  # from here on, the worker sends no reports
--- a/tests/test_late_command_copies.py
+++ b/tests/test_late_command_copies.py
@@ -1,5 +1,6 @@
 """Copies of commands that a worker has carried out and answered, which reach it again later."""
 
+import orjson
 import pytest
 from traces import ready_world, worker_of
 
@@ -11,6 +12,7 @@
 from kelpjunction.node import Node
 from kelpjunction.wire.messages import TaskId
 from kelpjunction.workers.events import ForgottenAttemptListed, Way
+from kelpjunction.workers.fencing import Attempt
 
 TASK = "j-1/0"
 EXIT_AFTER_S = 1.9
@@ -169,6 +171,18 @@
     return worker, next(body for to, body in sent if to is worker and body["orders"][0]["verb"] == "run")
 
 
+def test_attempt_with_an_unanswered_command_is_not_forgotten():
+    world = ready_world(machines=1, capacity=1)
+    (worker,) = workers(world)
+    node = holder_of(world, worker)
+    worker.tasks["j-9/0", 1] = {"tide": "exited", "cause": "error"}
+    unanswered = node.worker_registry.workers[worker.name].unanswered_commands
+    unanswered[Attempt(TaskId("j-9", 0), 1)] = 1
+    assert b"forget" not in node.handle_report(orjson.dumps(worker.report()))[1]
+    unanswered.clear()
+    assert b"forget" in node.handle_report(orjson.dumps(worker.report()))[1]
+
+
 def test_forgotten_attempt_that_runs_again_is_reported_with_its_tokens():
     world = ready_world(machines=9, capacity=9)
     worker, start = forgotten_start(world)
